--- /dev/null
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+/// @file
+/// All decisions of cornelstall: free functions over plain structs. Nothing here reads a clock, sends a message or
+/// knows an encoding, so that any front end can drive it.
+
+#include "cornelstall/decisions/process/engine_queue.hpp"
+#include "cornelstall/decisions/process/engine_state.hpp"
+#include "cornelstall/decisions/process/membership.hpp"
+#include "cornelstall/decisions/request/placement.hpp"
+#include "cornelstall/decisions/request/retry.hpp"
+#include "cornelstall/decisions/request/stream_parts.hpp"
+#include "cornelstall/decisions/request/tokens.hpp"
+#include "cornelstall/decisions/version/configuration.hpp"
--- /dev/null
+++ b/packages/value/include/cornelstall/value/errors.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+#include "cornelstall/value/outcome.hpp"
+#include "cornelstall/value/units.hpp"
+
+namespace cornelstall
+{
+
+/// @brief Base of all errors: a numeric id, and a message that names the remedy.
+class error : public std::runtime_error
+{
+  public:
+    /// @brief The stable number of this kind of error; ids are catalogued in docs/events.md.
+    [[nodiscard]] int id() const noexcept
+    {
+        return id_;
+    }
+
+  protected:
+    error(int id, const std::string& message)
+        : std::runtime_error("[cornelstall.error." + std::to_string(id) + "] " + message), id_(id)
+    {}
+
+  private:
+    int id_;
+};
+
+/// @brief A request is refused or failed (ids 100 to 199).
+class request_error : public error
+{
+  public:
+    request_error(int id, refusal_reason reason, outcome what_happened, const std::string& message,
+                  std::optional<milliseconds> retry_after = std::nullopt)
+        : error(id, message), reason_(reason), outcome_(what_happened), retry_after_(retry_after)
+    {}
+
+    /// @brief The reason that is counted and told to the caller.
+    [[nodiscard]] refusal_reason reason() const noexcept
+    {
+        return reason_;
+    }
+
+    /// @brief What is known about the request.
+    [[nodiscard]] outcome what_happened() const noexcept
+    {
+        return outcome_;
+    }
+
+    /// @brief When trying again makes sense, if it does.
+    [[nodiscard]] std::optional<milliseconds> retry_after() const noexcept
+    {
+        return retry_after_;
+    }
+
+  private:
+    refusal_reason reason_;
+    outcome outcome_;
+    std::optional<milliseconds> retry_after_;
+};
+
+/// @brief A connection to a peer, a backend server or the platform failed (ids 200 to 299).
+class connection_error : public error
+{
+  public:
+    connection_error(int id, const std::string& message) : error(id, message) {}
+};
+
+/// @brief A declaration or configuration is not valid or lost a race (ids 300 to 399).
+class version_error : public error
+{
+  public:
+    version_error(int id, const std::string& message) : error(id, message) {}
+};
+
+/// @brief A setting or the process itself is at fault (ids 400 to 499).
+class process_error : public error
+{
+  public:
+    process_error(int id, const std::string& message) : error(id, message) {}
+};
+
+}  // namespace cornelstall
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
