Order configuration changes by log offset

All VMs must agree on which publications are in force. A change is accepted if and only if all of its bases match, which depends on the stream's prefix only; a declaration that a release cannot read stays accepted and keeps the policy read last.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -12,3 +12,5 @@
 #include "cornelstall/decisions/request/stream_parts.hpp"
 #include "cornelstall/decisions/request/tokens.hpp"
 #include "cornelstall/decisions/version/configuration.hpp"
+#include "cornelstall/decisions/version/ordering.hpp"
+#include "cornelstall/decisions/version/validation.hpp"
--- /dev/null
+++ b/packages/decisions/src/version/ordering.cpp
@@ -0,0 +1,245 @@
+#include "cornelstall/decisions/version/ordering.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <set>
+#include <utility>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+log_offset accepted_at(const configuration& in_force, const service_id& service)
+{
+    const auto found = in_force.declarations_.find(service);
+    return found == in_force.declarations_.end() ? log_offset{0} : found->second.accepted_at_;
+}
+
+void set_policy(configuration& next, const service_id& service, parsed_policy policy)
+{
+    if (auto* const fleet = std::get_if<fleet_policy>(&policy); fleet != nullptr)
+    {
+        next.fleet_ = std::move(*fleet);
+        return;
+    }
+    next.services_.insert_or_assign(service, std::get<service_policy>(std::move(policy)));
+}
+
+void erase_policy(configuration& next, const service_id& service)
+{
+    if (service == fleet_service)
+    {
+        next.fleet_ = {};
+        return;
+    }
+    next.services_.erase(service);
+}
+
+/// Puts one declaration into force. When its text cannot be read, the policy that `next` holds already stays in use.
+void put_into_force(configuration& next, std::map<service_id, std::string>& unreadable, declaration changed,
+                    const parse_function& parse)
+{
+    unreadable.erase(changed.service_);
+    if (changed.text_.empty())
+    {
+        erase_policy(next, changed.service_);
+    }
+    else
+    {
+        try
+        {
+            set_policy(next, changed.service_, parse(changed.service_, changed.text_));
+        }
+        catch (const version_error& problem)
+        {
+            unreadable.emplace(changed.service_, problem.what());
+        }
+    }
+    const auto service = changed.service_;
+    next.declarations_.insert_or_assign(service, std::move(changed));
+}
+
+/// Bytes of a declaration in a record besides its text and name.
+constexpr std::size_t declaration_overhead = 128;
+
+std::size_t size_in_record(const declaration& declared)
+{
+    return declared.text_.size() + declared.service_.get().size() + declaration_overhead;
+}
+
+bool belongs_to(const snapshot_record& part, const snapshot_record& other)
+{
+    return part.snapshot_ == other.snapshot_ && part.version_ == other.version_ &&
+           part.read_through_ == other.read_through_ && part.parts_ == other.parts_;
+}
+
+bool is_in_force(const configuration& in_force, const declaration& offered)
+{
+    const auto found = in_force.declarations_.find(offered.service_);
+    return found != in_force.declarations_.end() && found->second.accepted_at_ == offered.accepted_at_ &&
+           found->second.text_ == offered.text_;
+}
+
+}  // namespace
+
+change_result apply_change(configuration_state& state, log_offset offset, const change_record& record,
+                           const parse_function& parse)
+{
+    if (offset <= state.read_through_)
+    {
+        return {change_verdict::replayed, {}};
+    }
+    state.read_through_ = offset;
+    const auto& in_force = *state.in_force_;
+    configuration_version lost_to;
+    bool lost = false;
+    for (const auto& change : record.changes_)
+    {
+        const auto current = accepted_at(in_force, change.service_);
+        if (change.base_ != current)
+        {
+            lost = true;
+            lost_to = std::max(lost_to, configuration_version{current.get()});
+        }
+    }
+    if (lost)
+    {
+        return {change_verdict::lost, lost_to};
+    }
+    auto next = std::make_shared<configuration>(in_force);
+    next->version_ = configuration_version{offset.get()};
+    std::ranges::for_each(record.changes_, [&](const declaration_change& change) {
+        put_into_force(*next, state.unreadable_, {change.service_, change.text_, offset}, parse);
+    });
+    state.in_force_ = std::move(next);
+    return {change_verdict::accepted, {}};
+}
+
+bool adopt(configuration_state& state, const whole_state& offered, const parse_function& parse)
+{
+    const auto& in_force = *state.in_force_;
+    if (offered.version_ < in_force.version_)
+    {
+        return false;
+    }
+    state.read_through_ = std::max(state.read_through_, offered.read_through_);
+    if (offered.version_ == in_force.version_)
+    {
+        return false;
+    }
+    auto next = std::make_shared<configuration>(in_force);
+    next->version_ = offered.version_;
+    std::set<service_id> offered_services;
+    std::ranges::transform(offered.declarations_, std::inserter(offered_services, offered_services.end()),
+                           &declaration::service_);
+    for (const auto& [service, declared] : in_force.declarations_)
+    {
+        if (!offered_services.contains(service))
+        {
+            next->declarations_.erase(service);
+            state.unreadable_.erase(service);
+            erase_policy(*next, service);
+        }
+    }
+    const auto changed = [&](const declaration& one) {
+        return !is_in_force(in_force, one);
+    };
+    for (const auto& one : offered.declarations_ | std::views::filter(changed))
+    {
+        put_into_force(*next, state.unreadable_, one, parse);
+    }
+    state.in_force_ = std::move(next);
+    return true;
+}
+
+std::optional<whole_state> assemble(snapshot_assembly& assembly, const snapshot_record& record)
+{
+    if (!assembly.parts_.empty() && !belongs_to(assembly.parts_.begin()->second, record))
+    {
+        assembly.parts_.clear();
+    }
+    assembly.parts_.insert_or_assign(record.part_, record);
+    if (assembly.parts_.size() < record.parts_)
+    {
+        return std::nullopt;
+    }
+    whole_state whole{record.version_, record.read_through_, {}};
+    for (auto& [number, part] : assembly.parts_)
+    {
+        std::ranges::move(part.declarations_, std::back_inserter(whole.declarations_));
+    }
+    assembly.parts_.clear();
+    return whole;
+}
+
+std::vector<snapshot_record> make_snapshot(const configuration_state& state, const std::string& snapshot,
+                                           byte_count max_size)
+{
+    const snapshot_record empty{snapshot, state.in_force_->version_, state.read_through_, 0, 1, {}};
+    std::vector<snapshot_record> records{empty};
+    std::uint64_t used = 0;
+    for (const auto& [service, declared] : state.in_force_->declarations_)
+    {
+        if (used > 0 && used + size_in_record(declared) > max_size.get())
+        {
+            records.push_back(empty);
+            used = 0;
+        }
+        used += size_in_record(declared);
+        records.back().declarations_.push_back(declared);
+    }
+    std::ranges::for_each(records, [&, number = std::uint32_t{0}](snapshot_record& record) mutable {
+        record.part_ = number++;
+        record.parts_ = static_cast<std::uint32_t>(records.size());
+    });
+    return records;
+}
+
+bool can_read_on(const configuration_state& state, log_offset oldest)
+{
+    return oldest <= state.read_through_.next();
+}
+
+publication_result find_publication(configuration_state& state, std::span<const configuration_entry> entries,
+                                    const publication_id& wanted, const parse_function& parse)
+{
+    for (const auto& [offset, record] : entries)
+    {
+        const auto* const change = std::get_if<change_record>(&record);
+        if (change == nullptr)
+        {
+            state.read_through_ = std::max(state.read_through_, offset);
+            continue;
+        }
+        const auto result = apply_change(state, offset, *change, parse);
+        if (change->publication_ == wanted && result.verdict_ == change_verdict::accepted)
+        {
+            return {publication_status::accepted, configuration_version{offset.get()}};
+        }
+        if (change->publication_ == wanted && result.verdict_ == change_verdict::lost)
+        {
+            return {publication_status::lost, result.lost_to_};
+        }
+    }
+    return {};
+}
+
+std::vector<declaration_change> changes_to(const configuration& in_force,
+                                           const std::map<service_id, std::string>& wanted)
+{
+    std::vector<declaration_change> changes;
+    for (const auto& [service, text] : wanted)
+    {
+        const auto found = in_force.declarations_.find(service);
+        if (found == in_force.declarations_.end() || found->second.text_ != text)
+        {
+            changes.push_back({service, accepted_at(in_force, service), text});
+        }
+    }
+    return changes;
+}
+
+}  // namespace cornelstall
