--- /dev/null
+++ b/packages/wire/include/cornelstall/wire.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+/// @file
+/// Encodings of what cornelstall exchanges with other systems and keeps in the log. Nothing here decides anything.
+
+#include "cornelstall/wire/version/configuration_codec.hpp"
