--- a/packages/declarations/src/field_reader.cpp
+++ b/packages/declarations/src/field_reader.cpp
@@ -124,8 +124,8 @@
         return fallback;
     }
     const double number = node->value<double>().value_or(std::nan(""));
-    // The negation refuses NaN as well.
-    if (!(number >= allowed.lowest_ && number <= allowed.highest_))
+    // NaN compares false with both limits, and TOML allows it.
+    if (std::isnan(number) || number < allowed.lowest_ || number > allowed.highest_)
     {
         report(table, field, declaration_fault_id::bad_value, shown(number) + " is out of range",
                "use " + shown(allowed.lowest_) + " to " + shown(allowed.highest_));
