--- /dev/null
+++ b/packages/runtime/include/cornelstall/runtime/process/task.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <coroutine>
+#include <exception>
+#include <memory>
+#include <optional>
+#include <type_traits>
+#include <utility>
+
+#include <pplx/pplxtasks.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "cornelstall/value.hpp"
+
+namespace cornelstall
+{
+
+/// @brief A coroutine that runs on the process's one Asio thread.
+template <class Result = void>
+using task = boost::asio::awaitable<Result>;
+
+/// @brief Runs tasks; one thread calls `run()`.
+using executor = boost::asio::io_context::executor_type;
+
+/// @brief Suspends the calling task for @a delay.
+[[nodiscard]] task<> sleep_for(milliseconds delay);
+
+/// @brief Starts @a work on @a where. An exception that escapes it is logged as event 4010; the process goes on.
+/// @param name names the task in that event
+void spawn(const executor& where, const char* name, task<> work);
+
+/// @brief Suspends the calling task until @a pending has ended; resumes on the task's own executor.
+/// @throws what @a pending throws
+template <class Result>
+[[nodiscard]] task<Result> await_task(pplx::task<Result> pending)
+{
+    auto where = co_await boost::asio::this_coro::executor;
+    auto ended = co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>&,
+                                                      void(std::exception_ptr, pplx::task<Result>)>(
+        [where](auto handler, pplx::task<Result> started) {
+            // pplx copies its continuations, Asio's handler can only be moved.
+            auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+            started.then([where, shared](pplx::task<Result> finished) {
+                boost::asio::post(where, [shared, finished] { (*shared)(std::exception_ptr{}, finished); });
+            });
+        },
+        boost::asio::use_awaitable, std::move(pending));
+    co_return ended.get();
+}
+
+namespace detail
+{
+
+/// State shared by the two sides of a race between a pplx task and a timer.
+template <class Result>
+struct race_state
+{
+    explicit race_state(const executor& where) : timer_(where) {}
+
+    boost::asio::steady_timer timer_;
+    std::optional<pplx::task<Result>> ended_;
+};
+
+}  // namespace detail
+
+/// @brief Like `await_task`, but gives up waiting after @a limit. The pending operation goes on by itself, so whatever
+/// it uses must stay alive by its own means.
+/// @return the ended pplx task, or nothing after @a limit
+template <class Result>
+[[nodiscard]] task<std::optional<pplx::task<Result>>> await_task_for(pplx::task<Result> pending, milliseconds limit)
+{
+    auto where = boost::asio::any_io_executor(co_await boost::asio::this_coro::executor);
+    auto state = std::make_shared<detail::race_state<Result>>(*where.template target<executor>());
+    state->timer_.expires_after(limit);
+    pending.then([where, state](pplx::task<Result> finished) {
+        boost::asio::post(where, [state, finished] {
+            state->ended_ = finished;
+            state->timer_.cancel();
+        });
+    });
+    try
+    {
+        co_await state->timer_.async_wait(boost::asio::use_awaitable);
+    }
+    catch (const boost::system::system_error&)
+    {
+        // The timer was cancelled because the operation ended.
+    }
+    co_return state->ended_;
+}
+
+}  // namespace cornelstall
