Add membership, engine summaries and peer deltas

Cause: owners, placement and peers need one view of the live members, of the engines and of the other data centres. Change: SWIM-style member table (incarnations, suspicion, refutation, leaving, forgetting), rendezvous hashing with xxHash, engine summaries by revision and owner, data centre summaries and their contact members, demand by member, and per-peer deltas with one sequence for all parts, bounded by bytes. Load goes one hop from the owner; only changes of condition are passed on, because relaying load would grow with the square of the members.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -4,8 +4,12 @@
 /// All decisions of cornelstall: free functions over plain structs. Nothing here reads a clock, sends a message or
 /// knows an encoding, so that any front end can drive it.
 
+#include "cornelstall/decisions/connection/peer_delta.hpp"
+#include "cornelstall/decisions/process/data_centres.hpp"
 #include "cornelstall/decisions/process/engine_queue.hpp"
 #include "cornelstall/decisions/process/engine_state.hpp"
+#include "cornelstall/decisions/process/engine_summary.hpp"
+#include "cornelstall/decisions/process/fleet_view.hpp"
 #include "cornelstall/decisions/process/membership.hpp"
 #include "cornelstall/decisions/request/placement.hpp"
 #include "cornelstall/decisions/request/retry.hpp"
--- a/packages/decisions/include/cornelstall/decisions/process/membership.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/membership.hpp
@@ -36,6 +36,8 @@
     member member_;
     std::uint64_t changed_at_ = 0;  ///< table sequence of the last change
     time_point state_since_;
+    vm_id learned_from_;                           ///< peer that sent the last change; empty when it is our own
+    std::optional<time_point> unreachable_since_;  ///< first failed probe of a leaving member
 };
 
 /// @brief The member table of one VM.
@@ -55,12 +57,26 @@
 [[nodiscard]] membership_table make_membership(member self, time_point now);
 
 /// @brief Applies news about a member. News about this VM itself that it is suspect or dead raises its incarnation.
+///
+/// The higher incarnation wins, and at the same incarnation the larger state. News of the death of an unknown member is
+/// kept, so that older news does not bring it back, but it is not passed on: otherwise members that have forgotten it
+/// and members that have not would return it to each other without end.
+/// @param source the peer that sent the news; it need not be told again
 /// @return true when the table changed
-bool apply(membership_table& table, const member& news, time_point now);
+bool apply(membership_table& table, const member& news, time_point now, const vm_id& source = vm_id{});
 
 /// @brief Marks @a who suspect after failed probes, unless it is dead or leaving.
 bool suspect(membership_table& table, const vm_id& who, time_point now);
 
+/// @brief Notes that direct and indirect probes of @a who failed: an alive member becomes suspect, and a leaving one is
+/// dead after the suspicion timeout unless note_reachable is called before. Leaving members cannot be suspect, because
+/// that would give them engines again.
+/// @return true when the state of the member changed
+bool note_unreachable(membership_table& table, const vm_id& who, time_point now);
+
+/// @brief Notes that @a who answered.
+void note_reachable(membership_table& table, const vm_id& who);
+
 /// @brief Marks this VM as leaving.
 void leave(membership_table& table, time_point now);
 
--- /dev/null
+++ b/packages/decisions/src/connection/peer_delta.cpp
@@ -0,0 +1,237 @@
+#include "cornelstall/decisions/connection/peer_delta.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <variant>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+using item =
+    std::variant<const member*, const engine_summary*, const data_centre_summary*, const std::vector<model_demand>*>;
+
+struct change
+{
+    std::uint64_t changed_at_ = 0;
+    item item_;
+};
+
+// Approximate bytes of the encoded items. The texts dominate; the constants stand for numbers and field headers.
+std::size_t size_of(const member* each)
+{
+    return each->id_.get().size() + each->peer_address_.get().size() + each->data_centre_.get().size() + 16;
+}
+
+std::size_t size_of(const engine_summary* each)
+{
+    const engine_state& state = each->state_;
+    const std::size_t models = std::transform_reduce(
+        state.load_.models_.begin(), state.load_.models_.end(), std::size_t{0}, std::plus{}, [](const auto& model) {
+            return std::transform_reduce(model.adapters_.begin(), model.adapters_.end(),
+                                         model.name_.get().size() + model.version_.get().size() + 6, std::plus{},
+                                         [](const auto& adapter) { return adapter.get().size() + 2; });
+        });
+    return state.id_.get().size() + state.address_.get().size() + state.data_centre_.get().size() +
+           each->owner_.get().size() + models + 14 * state.cached_prefixes_.size() + 80;
+}
+
+std::size_t size_of(const data_centre_summary* each)
+{
+    const std::size_t contacts = std::transform_reduce(
+        each->contacts_.begin(), each->contacts_.end(), std::size_t{0}, std::plus{},
+        [](const auto& contact) { return contact.id_.get().size() + contact.peer_address_.get().size() + 6; });
+    const std::size_t capacity =
+        std::transform_reduce(each->capacity_.begin(), each->capacity_.end(), std::size_t{0}, std::plus{},
+                              [](const auto& model) { return model.model_.get().size() + 24; });
+    return each->id_.get().size() + each->author_.get().size() + contacts + capacity + 16;
+}
+
+std::size_t size_of(const std::vector<model_demand>* demand)
+{
+    return std::transform_reduce(demand->begin(), demand->end(), std::size_t{0}, std::plus{},
+                                 [](const auto& each) { return each.model_.get().size() + 22; });
+}
+
+template <class Records, class ToItem>
+void collect(std::vector<change>& changes, const Records& records, const vm_id& peer, std::uint64_t since,
+             ToItem to_item)
+{
+    for (const auto& [id, record] : records)
+    {
+        if (record.changed_at_ > since && record.learned_from_ != peer)
+        {
+            changes.push_back({record.changed_at_, to_item(record)});
+        }
+    }
+}
+
+std::vector<change> unacknowledged(const fleet_view& view, const vm_id& peer, std::uint64_t since, exchange_scope scope)
+{
+    std::vector<change> changes;
+    collect(changes, view.data_centres_, peer, since,
+            [](const data_centre_record& record) { return item{&record.summary_}; });
+    if (scope == exchange_scope::own_data_centre)
+    {
+        collect(changes, view.members_.members_, peer, since,
+                [](const member_record& record) { return item{&record.member_}; });
+        collect(changes, view.engines_, peer, since,
+                [](const engine_record& record) { return item{&record.summary_}; });
+        const auto own = view.demand_.find(view.members_.self_.id_);
+        if (own != view.demand_.end() && own->second.changed_at_ > since)
+        {
+            changes.push_back({own->second.changed_at_, item{&own->second.demand_}});
+        }
+    }
+    std::ranges::sort(changes, {}, &change::changed_at_);
+    return changes;
+}
+
+void add(exchange_delta& delta, const member* each)
+{
+    delta.members_.push_back(*each);
+}
+
+void add(exchange_delta& delta, const engine_summary* each)
+{
+    delta.engines_.push_back(*each);
+}
+
+void add(exchange_delta& delta, const data_centre_summary* each)
+{
+    delta.data_centres_.push_back(*each);
+}
+
+void add(exchange_delta& delta, const std::vector<model_demand>* each)
+{
+    delta.demand_ = *each;
+}
+
+void add_suspicion_of_peer(exchange_delta& delta, const fleet_view& view, const vm_id& peer)
+{
+    const auto known = view.members_.members_.find(peer);
+    if (known == view.members_.members_.end() ||
+        std::ranges::find(delta.members_, peer, &member::id_) != delta.members_.end())
+    {
+        return;
+    }
+    const member_state state = known->second.member_.state_;
+    if (state == member_state::suspect || state == member_state::dead)
+    {
+        delta.members_.push_back(known->second.member_);
+    }
+}
+
+void apply_members(fleet_view& view, const exchange_delta& delta, delta_effect& effect, time_point now)
+{
+    for (const member& news : delta.members_)
+    {
+        if (news.data_centre_ != view.members_.self_.data_centre_)
+        {
+            continue;
+        }
+        const bool was_live = is_live(view.members_, news.id_);
+        if (apply(view.members_, news, now, delta.sender_))
+        {
+            effect.members_changed_ = true;
+            if (was_live && !is_live(view.members_, news.id_))
+            {
+                effect.died_.push_back(news);
+            }
+        }
+    }
+}
+
+void apply_engines(fleet_view& view, const exchange_delta& delta, delta_effect& effect, time_point now)
+{
+    const data_centre_id& own = view.members_.self_.data_centre_;
+    const std::vector<member> live = live_members(view.members_, own);
+    for (const engine_summary& news : delta.engines_)
+    {
+        effect.engines_changed_ |=
+            news.state_.data_centre_ == own && apply(view.engines_, view.members_, live, news, now, delta.sender_);
+    }
+}
+
+void apply_data_centres(fleet_view& view, const exchange_delta& delta, delta_effect& effect, exchange_scope scope,
+                        time_point now)
+{
+    const bool from_elsewhere = scope == exchange_scope::other_data_centre;
+    for (const data_centre_summary& news : delta.data_centres_)
+    {
+        // Only members of the own data centre write its summary, and only those that received the summary of another
+        // one from there pass it on: each member then gets it from at most three others.
+        const bool is_own = news.id_ == view.members_.self_.data_centre_;
+        if (!is_own || !from_elsewhere)
+        {
+            effect.data_centres_changed_ |=
+                apply(view.data_centres_, view.members_, news, now, delta.sender_, from_elsewhere);
+        }
+    }
+}
+
+}  // namespace
+
+milliseconds exchange_interval(const exchange_pace& pace, std::size_t peers, double random)
+{
+    const double mean = static_cast<double>(pace.period_.count()) *
+                        static_cast<double>(std::max<std::size_t>(1, peers)) /
+                        static_cast<double>(std::max(1, pace.fan_out_));
+    return milliseconds{std::llround(mean * (1.0 + pace.jitter_ * (2.0 * random - 1.0)))};
+}
+
+exchange_delta make_delta(const fleet_view& view, const vm_id& peer, const peer_progress& progress,
+                          exchange_scope scope, const delta_limits& limits)
+{
+    exchange_delta delta;
+    delta.sender_ = view.members_.self_.id_;
+    delta.receiver_ = peer;
+    delta.sequence_ = view.members_.sequence_;
+    delta.acknowledged_ = progress.applied_;
+    delta.version_ = view.version_;
+
+    const std::size_t budget = progress.acknowledged_ == 0 ? limits.max_first_bytes_ : limits.max_bytes_;
+    std::size_t used = 0;
+    std::uint64_t covered = progress.acknowledged_;
+    for (const change& each : unacknowledged(view, peer, progress.acknowledged_, scope))
+    {
+        const std::size_t size = std::visit([](const auto* pointer) { return size_of(pointer); }, each.item_);
+        if (used != 0 && used + size > budget)
+        {
+            delta.sequence_ = covered;
+            break;
+        }
+        std::visit([&](const auto* pointer) { add(delta, pointer); }, each.item_);
+        used += size;
+        covered = each.changed_at_;
+    }
+    add_suspicion_of_peer(delta, view, peer);
+    return delta;
+}
+
+delta_effect apply_delta(fleet_view& view, peer_progress& progress, const exchange_delta& delta, exchange_scope scope,
+                         time_point now)
+{
+    if (delta.acknowledged_ <= view.members_.sequence_)
+    {
+        progress.acknowledged_ = std::max(progress.acknowledged_, delta.acknowledged_);
+    }
+    delta_effect effect;
+    if (scope == exchange_scope::own_data_centre)
+    {
+        apply_members(view, delta, effect, now);
+        apply_engines(view, delta, effect, now);
+        if (!delta.demand_.empty())
+        {
+            view.demand_[delta.sender_] = {delta.demand_, 0, now};
+        }
+    }
+    apply_data_centres(view, delta, effect, scope, now);
+    progress.applied_ = std::max(progress.applied_, delta.sequence_);
+    return effect;
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/decisions/src/process/membership.cpp
@@ -0,0 +1,194 @@
+#include "cornelstall/decisions/process/membership.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+void mark_changed(membership_table& table, member_record& record, const vm_id& source)
+{
+    record.changed_at_ = ++table.sequence_;
+    record.learned_from_ = source;
+}
+
+void set_state(membership_table& table, member_record& record, member_state state, time_point now)
+{
+    record.member_.state_ = state;
+    record.state_since_ = now;
+    record.unreachable_since_.reset();
+    mark_changed(table, record, vm_id{});
+}
+
+void store_self(membership_table& table, time_point now)
+{
+    member_record& record = table.members_[table.self_.id_];
+    record.member_ = table.self_;
+    record.state_since_ = now;
+    mark_changed(table, record, vm_id{});
+}
+
+bool overrides(const member& news, const member& known)
+{
+    return std::tie(news.incarnation_, news.state_) > std::tie(known.incarnation_, known.state_);
+}
+
+/// Only this VM raises its incarnation, so news that is not older than its own state is a suspicion to refute.
+bool refute(membership_table& table, const member& news, time_point now)
+{
+    if (!overrides(news, table.self_))
+    {
+        return false;
+    }
+    table.self_.incarnation_ = news.incarnation_.next();
+    store_self(table, now);
+    return true;
+}
+
+bool has_timed_out(const member_record& record, time_point now)
+{
+    switch (record.member_.state_)
+    {
+        case member_state::suspect:
+            return record.state_since_ + suspicion_timeout <= now;
+        case member_state::leaving:
+            return record.unreachable_since_ && *record.unreachable_since_ + suspicion_timeout <= now;
+        case member_state::alive:
+        case member_state::dead:
+            return false;
+    }
+    return false;
+}
+
+}  // namespace
+
+membership_table make_membership(member self, time_point now)
+{
+    membership_table table;
+    table.self_ = std::move(self);
+    store_self(table, now);
+    return table;
+}
+
+bool apply(membership_table& table, const member& news, time_point now, const vm_id& source)
+{
+    if (news.id_ == table.self_.id_)
+    {
+        return refute(table, news, now);
+    }
+    const auto known = table.members_.find(news.id_);
+    if (known != table.members_.end() && !overrides(news, known->second.member_))
+    {
+        return false;
+    }
+    const bool known_only_as_gone = known == table.members_.end() && news.state_ == member_state::dead;
+    member_record& record = table.members_[news.id_];
+    record.member_ = news;
+    record.state_since_ = now;
+    record.unreachable_since_.reset();
+    if (!known_only_as_gone)
+    {
+        mark_changed(table, record, source);
+    }
+    return true;
+}
+
+bool suspect(membership_table& table, const vm_id& who, time_point now)
+{
+    const auto known = table.members_.find(who);
+    if (who == table.self_.id_ || known == table.members_.end() || known->second.member_.state_ != member_state::alive)
+    {
+        return false;
+    }
+    set_state(table, known->second, member_state::suspect, now);
+    return true;
+}
+
+bool note_unreachable(membership_table& table, const vm_id& who, time_point now)
+{
+    const auto known = table.members_.find(who);
+    if (known != table.members_.end() && known->second.member_.state_ == member_state::leaving &&
+        !known->second.unreachable_since_)
+    {
+        known->second.unreachable_since_ = now;
+    }
+    return suspect(table, who, now);
+}
+
+void note_reachable(membership_table& table, const vm_id& who)
+{
+    if (const auto known = table.members_.find(who); known != table.members_.end())
+    {
+        known->second.unreachable_since_.reset();
+    }
+}
+
+void leave(membership_table& table, time_point now)
+{
+    if (table.self_.state_ != member_state::leaving)
+    {
+        table.self_.state_ = member_state::leaving;
+        store_self(table, now);
+    }
+}
+
+std::vector<member> advance(membership_table& table, time_point now)
+{
+    std::erase_if(table.members_, [&](const auto& entry) {
+        return entry.second.member_.state_ == member_state::dead &&
+               entry.second.state_since_ + dead_member_retention <= now;
+    });
+    std::vector<member> died;
+    for (auto& [id, record] : table.members_)
+    {
+        if (id != table.self_.id_ && has_timed_out(record, now))
+        {
+            set_state(table, record, member_state::dead, now);
+            died.push_back(record.member_);
+        }
+    }
+    return died;
+}
+
+std::vector<member> changes_since(const membership_table& table, std::uint64_t since)
+{
+    std::vector<const member_record*> changed;
+    for (const auto& [id, record] : table.members_)
+    {
+        if (record.changed_at_ > since)
+        {
+            changed.push_back(&record);
+        }
+    }
+    std::ranges::sort(changed, {}, &member_record::changed_at_);
+    std::vector<member> result;
+    std::ranges::transform(changed, std::back_inserter(result), &member_record::member_);
+    return result;
+}
+
+std::vector<member> live_members(const membership_table& table, const data_centre_id& where)
+{
+    std::vector<member> result;
+    for (const auto& [id, record] : table.members_)
+    {
+        const member_state state = record.member_.state_;
+        if (record.member_.data_centre_ == where && (state == member_state::alive || state == member_state::suspect))
+        {
+            result.push_back(record.member_);
+        }
+    }
+    return result;
+}
+
+bool is_live(const membership_table& table, const vm_id& who)
+{
+    const auto known = table.members_.find(who);
+    return known != table.members_.end() && known->second.member_.state_ != member_state::dead;
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/decisions/src/process/membership_ownership.cpp
@@ -0,0 +1,51 @@
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "cornelstall/decisions/process/membership.hpp"
+
+namespace cornelstall
+{
+
+namespace
+{
+
+using score = std::uint64_t;
+
+/// The score of a candidate; the id decides between equal hashes.
+std::pair<score, std::string_view> score_of(score subject_hash, const member& candidate)
+{
+    const std::string& id = candidate.id_.get();
+    return {XXH3_64bits_withSeed(id.data(), id.size(), subject_hash), id};
+}
+
+score hash_of(const std::string& subject)
+{
+    return XXH3_64bits(subject.data(), subject.size());
+}
+
+}  // namespace
+
+std::optional<vm_id> owner_of(const std::string& subject, const std::vector<member>& candidates)
+{
+    const score subject_hash = hash_of(subject);
+    const auto best = std::ranges::max_element(
+        candidates, {}, [&](const member& candidate) { return score_of(subject_hash, candidate); });
+    return best == candidates.end() ? std::nullopt : std::optional(best->id_);
+}
+
+std::vector<member> best_members(const std::string& subject, std::vector<member> candidates, std::size_t count)
+{
+    const score subject_hash = hash_of(subject);
+    const auto by_score = [&](const member& left, const member& right) {
+        return score_of(subject_hash, left) > score_of(subject_hash, right);
+    };
+    const std::size_t kept = std::min(count, candidates.size());
+    std::ranges::partial_sort(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(kept), by_score);
+    candidates.resize(kept);
+    return candidates;
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/decisions/src/process/membership_view.cpp
@@ -0,0 +1,69 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "cornelstall/decisions/process/fleet_view.hpp"
+
+namespace cornelstall
+{
+
+namespace
+{
+
+/// Relative change below which a rate is not sent again.
+constexpr double demand_step = 0.2;
+
+bool is_close(token_rate before, token_rate after)
+{
+    return std::abs(after.get() - before.get()) <= demand_step * before.get();
+}
+
+bool are_close(const std::vector<model_demand>& before, const std::vector<model_demand>& after)
+{
+    return std::ranges::equal(before, after, [](const model_demand& one, const model_demand& other) {
+        return one.model_ == other.model_ && is_close(one.served_, other.served_) &&
+               is_close(one.refused_, other.refused_);
+    });
+}
+
+}  // namespace
+
+fleet_view make_fleet_view(member self, time_point now)
+{
+    fleet_view view;
+    view.members_ = make_membership(std::move(self), now);
+    return view;
+}
+
+bool set_demand(fleet_view& view, std::vector<model_demand> demand, time_point now)
+{
+    demand_record& record = view.demand_[view.members_.self_.id_];
+    if (record.changed_at_ != 0 && now - record.received_at_ < demand_refresh && are_close(record.demand_, demand))
+    {
+        return false;
+    }
+    record = {std::move(demand), ++view.members_.sequence_, now};
+    return true;
+}
+
+std::map<model_id, model_demand> total_demand(const fleet_view& view, time_point now)
+{
+    std::map<model_id, model_demand> total;
+    for (const auto& [who, record] : view.demand_)
+    {
+        if (!is_live(view.members_, who) || now - record.received_at_ > demand_lifetime)
+        {
+            continue;
+        }
+        for (const model_demand& each : record.demand_)
+        {
+            model_demand& sum = total[each.model_];
+            sum.model_ = each.model_;
+            sum.served_ += each.served_;
+            sum.refused_ += each.refused_;
+        }
+    }
+    return total;
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/tests/decisions/peer_delta_test.cpp
@@ -0,0 +1,286 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "cornelstall/decisions.hpp"
+#include "fixed_seed.hpp"
+
+using namespace cornelstall;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const data_centre_id home{"home"};
+const time_point start{};
+
+member member_of(const std::string& id, std::uint64_t number = 1, member_state state = member_state::alive)
+{
+    return {vm_id{id}, socket_address{"10.0.0.1:7000"}, home, incarnation{number}, state};
+}
+
+engine_state engine_of(const std::string& id, int running = 0)
+{
+    engine_state engine;
+    engine.id_ = engine_id{id};
+    engine.data_centre_ = home;
+    engine.condition_ = engine_condition::ready;
+    engine.load_.slots_ = 16;
+    engine.load_.running_ = running;
+    engine.load_.models_ = {{model_id{"m"}, model_version{"1"}, {}}};
+    return engine;
+}
+
+engine_summary summary_of(const std::string& id, const std::string& owner, std::uint64_t revision)
+{
+    return {engine_of(id), vm_id{owner}, revision};
+}
+
+using facts = std::map<std::string, std::tuple<std::uint64_t, int, std::string>>;
+
+/// What a view says, without this VM's own bookkeeping.
+facts facts_of(const fleet_view& view)
+{
+    facts result;
+    for (const auto& [id, record] : view.members_.members_)
+    {
+        result["member " + id.get()] = {record.member_.incarnation_.get(), static_cast<int>(record.member_.state_), ""};
+    }
+    for (const auto& [id, record] : view.engines_)
+    {
+        result["engine " + id.get()] = {record.summary_.revision_, 0, record.summary_.owner_.get()};
+    }
+    return result;
+}
+
+/// One exchange in both directions. With a lost reply, only the receiver learns anything.
+void exchange(fleet_view& from, fleet_view& to, std::map<std::pair<vm_id, vm_id>, peer_progress>& progress,
+              bool reply_lost, const delta_limits& limits = {})
+{
+    const vm_id& sender = from.members_.self_.id_;
+    const vm_id& receiver = to.members_.self_.id_;
+    peer_progress& of_sender = progress[{sender, receiver}];
+    peer_progress& of_receiver = progress[{receiver, sender}];
+    const auto scope = exchange_scope::own_data_centre;
+    static_cast<void>(apply_delta(to, of_receiver, make_delta(from, receiver, of_sender, scope, limits), scope, start));
+    const exchange_delta reply = make_delta(to, sender, of_receiver, scope, limits);
+    if (!reply_lost)
+    {
+        static_cast<void>(apply_delta(from, of_sender, reply, scope, start));
+    }
+}
+
+}  // namespace
+
+TEST_CASE("news in any order gives the same view")
+{
+    REQUIRE(holds_with_seed(7101, "news in any order gives the same view", [] {
+        std::vector<member> members;
+        std::vector<engine_summary> engines;
+        for (int number = 0; number < 12; ++number)
+        {
+            members.push_back(member_of(*rc::gen::element<std::string>("b", "c"),
+                                        *rc::gen::inRange<std::uint64_t>(1, 4),
+                                        static_cast<member_state>(*rc::gen::inRange(0, 4))));
+            engines.push_back(summary_of(*rc::gen::element<std::string>("e1", "e2"),
+                                         *rc::gen::element<std::string>("a", "b", "c"),
+                                         *rc::gen::inRange<std::uint64_t>(1, 6)));
+        }
+        const std::vector<member> live{member_of("a"), member_of("b"), member_of("c")};
+        const auto apply_all = [&](std::uint64_t order) {
+            std::mt19937_64 random(order);
+            std::ranges::shuffle(members, random);
+            std::ranges::shuffle(engines, random);
+            fleet_view view = make_fleet_view(member_of("a"), start);
+            for (const member& each : members)
+            {
+                apply(view.members_, each, start);
+            }
+            for (const engine_summary& each : engines)
+            {
+                apply(view.engines_, view.members_, live, each, start, vm_id{"b"});
+            }
+            return facts_of(view);
+        };
+        RC_ASSERT(apply_all(*rc::gen::arbitrary<std::uint64_t>()) == apply_all(*rc::gen::arbitrary<std::uint64_t>()));
+    }));
+}
+
+TEST_CASE("deltas converge although replies are lost and messages are small")
+{
+    REQUIRE(holds_with_seed(7102, "deltas converge although replies are lost", [] {
+        const std::vector<std::string> names{"a", "b", "c", "d"};
+        std::vector<fleet_view> views;
+        for (const std::string& name : names)
+        {
+            views.push_back(make_fleet_view(member_of(name), start));
+            publish(views.back().engines_, views.back().members_, engine_of("engine-of-" + name), start);
+        }
+        std::map<std::pair<vm_id, vm_id>, peer_progress> progress;
+        const delta_limits limits{*rc::gen::inRange<std::size_t>(1, 600), *rc::gen::inRange<std::size_t>(1, 600)};
+        const int steps = *rc::gen::inRange(0, 30);
+        for (int step = 0; step < steps; ++step)
+        {
+            const auto from = *rc::gen::inRange<std::size_t>(0, names.size());
+            const auto to = (from + *rc::gen::inRange<std::size_t>(1, names.size())) % names.size();
+            if (*rc::gen::inRange(0, 4) == 0)
+            {
+                suspect(views[from].members_, views[to].members_.self_.id_, start);
+            }
+            exchange(views[from], views[to], progress, *rc::gen::inRange(0, 3) == 0, limits);
+        }
+        for (int round = 0; round < 40; ++round)
+        {
+            const auto from = static_cast<std::size_t>(round) % names.size();
+            for (std::size_t hop = 1; hop < names.size(); ++hop)
+            {
+                exchange(views[from], views[(from + hop) % names.size()], progress, false, limits);
+            }
+        }
+        RC_ASSERT(facts_of(views[0]).size() == 2 * names.size());
+        for (const fleet_view& view : views)
+        {
+            RC_ASSERT(facts_of(view) == facts_of(views[0]));
+            for (const auto& [id, record] : view.members_.members_)
+            {
+                // A suspicion that is not refuted everywhere would kill a live VM.
+                RC_ASSERT(record.member_.state_ == member_state::alive);
+            }
+        }
+    }));
+}
+
+TEST_CASE("only what the peer has not acknowledged is sent")
+{
+    fleet_view a = make_fleet_view(member_of("a"), start);
+    fleet_view b = make_fleet_view(member_of("b"), start);
+    std::map<std::pair<vm_id, vm_id>, peer_progress> progress;
+    exchange(a, b, progress, false);
+    exchange(a, b, progress, false);
+    const auto scope = exchange_scope::own_data_centre;
+    const peer_progress& of_b = progress[{vm_id{"a"}, vm_id{"b"}}];
+    // Sending the whole table each time would grow with the data centre.
+    REQUIRE(make_delta(a, vm_id{"b"}, of_b, scope).members_.empty());
+
+    SECTION("a peer is not told its own news again")
+    {
+        apply(a.members_, member_of("c"), start, vm_id{"b"});
+        REQUIRE(make_delta(a, vm_id{"b"}, of_b, scope).members_.empty());
+        REQUIRE(make_delta(a, vm_id{"d"}, {}, scope).members_.size() == 3);
+    }
+    SECTION("a peer that is known only as gone is told so, or it could never refute it")
+    {
+        apply(a.members_, member_of("d", 3, member_state::dead), start, vm_id{"b"});
+        const exchange_delta delta = make_delta(a, vm_id{"d"}, {}, scope);
+        REQUIRE(std::ranges::count(delta.members_, vm_id{"d"}, &member::id_) == 1);
+    }
+    SECTION("an acknowledgement meant for a former process at the address must not hide changes")
+    {
+        peer_progress fresh;
+        exchange_delta late;
+        late.sender_ = vm_id{"b"};
+        late.acknowledged_ = a.members_.sequence_ + 1;
+        static_cast<void>(apply_delta(a, fresh, late, scope, start));
+        REQUIRE(fresh.acknowledged_ == 0);
+    }
+    SECTION("another data centre gets summaries only")
+    {
+        // A lone member writes the summary of its data centre.
+        fleet_view lone = make_fleet_view(member_of("a"), start);
+        publish(lone.engines_, lone.members_, engine_of("e"), start);
+        REQUIRE(write_summary(lone.data_centres_, lone.members_, configuration_version{4}, {}, start));
+        const exchange_delta delta = make_delta(lone, vm_id{"far"}, {}, exchange_scope::other_data_centre);
+        REQUIRE(delta.members_.empty());
+        REQUIRE(delta.engines_.empty());
+        REQUIRE(delta.data_centres_.size() == 1);
+    }
+}
+
+TEST_CASE("a stranger's data centre does not enter the tables")
+{
+    fleet_view a = make_fleet_view(member_of("a"), start);
+    exchange_delta delta;
+    delta.sender_ = vm_id{"far"};
+    delta.members_ = {member_of("far")};
+    delta.members_.front().data_centre_ = data_centre_id{"elsewhere"};
+    delta.engines_ = {summary_of("e", "far", 1)};
+    delta.engines_.front().state_.data_centre_ = data_centre_id{"elsewhere"};
+    peer_progress progress;
+    const auto effect = apply_delta(a, progress, delta, exchange_scope::own_data_centre, start);
+    REQUIRE_FALSE(effect.members_changed_);
+    REQUIRE(a.members_.members_.size() == 1);
+    REQUIRE(a.engines_.empty());
+}
+
+TEST_CASE("an owner publishes coarse changes only")
+{
+    fleet_view view = make_fleet_view(member_of("a"), start);
+    REQUIRE(publish(view.engines_, view.members_, engine_of("e", 4), start));
+    REQUIRE_FALSE(publish(view.engines_, view.members_, engine_of("e", 6), start + 1s));
+    REQUIRE_FALSE(publish(view.engines_, view.members_, engine_of("e", 9), start + 1ms));
+    REQUIRE(publish(view.engines_, view.members_, engine_of("e", 9), start + 1s));
+    REQUIRE(publish(view.engines_, view.members_, engine_of("e", 9), start + 1s + engine_refresh));
+
+    engine_state draining = engine_of("e", 9);
+    draining.condition_ = engine_condition::draining;
+    // A draining engine must not wait for the interval: it would get new work.
+    REQUIRE(publish(view.engines_, view.members_, draining, start + 1s + engine_refresh));
+}
+
+TEST_CASE("receivers pass on the condition of an engine but not its load")
+{
+    fleet_view view = make_fleet_view(member_of("a"), start);
+    const std::vector<member> live{member_of("a"), member_of("b")};
+    engine_summary summary = summary_of("e", "b", 1);
+    REQUIRE(apply(view.engines_, view.members_, live, summary, start, vm_id{"b"}));
+    const std::uint64_t first = view.engines_.at(engine_id{"e"}).changed_at_;
+
+    summary.revision_ = 2;
+    summary.state_.load_.running_ = 16;
+    REQUIRE(apply(view.engines_, view.members_, live, summary, start, vm_id{"b"}));
+    REQUIRE(view.engines_.at(engine_id{"e"}).changed_at_ == first);
+
+    summary.revision_ = 3;
+    summary.state_.condition_ = engine_condition::draining;
+    REQUIRE(apply(view.engines_, view.members_, live, summary, start, vm_id{"b"}));
+    REQUIRE(view.engines_.at(engine_id{"e"}).changed_at_ > first);
+    REQUIRE_FALSE(apply(view.engines_, view.members_, live, summary_of("e", "b", 2), start, vm_id{"b"}));
+}
+
+TEST_CASE("three members keep contact with each other data centre, and the newest summary is kept")
+{
+    fleet_view view = make_fleet_view(member_of("vm-0"), start);
+    for (int number = 1; number < 8; ++number)
+    {
+        apply(view.members_, member_of("vm-" + std::to_string(number)), start);
+    }
+    const std::vector<member> live = live_members(view.members_, home);
+    data_centre_summary far{data_centre_id{"far"}, vm_id{"x"}, 5, configuration_version{1}, {}, {}};
+    for (const char* id : {"x", "y", "z"})
+    {
+        far.contacts_.push_back({vm_id{id}, socket_address{"10.1.0.1:7000"}});
+    }
+    const auto keepers = std::ranges::count_if(live, [&](const member& each) {
+        const auto contacts = remote_contacts_of(each.id_, live, far);
+        return contacts.size() == remote_contacts;
+    });
+    REQUIRE(keepers == contacts_per_data_centre);
+
+    data_centre_table& table = view.data_centres_;
+    far.capacity_ = {{model_id{"m"}, 2, 32, 8, token_rate{1000}}};
+    REQUIRE(apply(table, view.members_, far, start, vm_id{"x"}, true));
+    far.revision_ = 4;
+    REQUIRE_FALSE(apply(table, view.members_, far, start, vm_id{"y"}, true));
+    REQUIRE(data_centres_with(table, home, model_id{"m"}, start).size() == 1);
+    REQUIRE(data_centres_with(table, home, model_id{"other"}, start).empty());
+    // A data centre that was cut off would otherwise get requests that nobody answers.
+    REQUIRE(data_centres_with(table, home, model_id{"m"}, start + summary_lifetime + 1ms).empty());
+}
+
+TEST_CASE("the pace of a VM does not depend on the number of peers")
+{
+    const exchange_pace pace;
+    REQUIRE(exchange_interval(pace, 1, 0.5) == 250ms);
+    REQUIRE(exchange_interval(pace, 150, 0.5) == 150 * exchange_interval(pace, 1, 0.5));
+    REQUIRE(exchange_interval(pace, 8, 0.0) < exchange_interval(pace, 8, 0.999));
+}
