Add decisions for claims, leases, orders and reconciliation

Non-idempotent calls, orders to engines and the release of engine memory need rules that hold on every VM without a coordination service.

claims.hpp indexes stream claims and judges claims and keys, lease.hpp accepts lease records by log order and says when an order may be given, orders.hpp plans loads, unloads, adapters, versions and roles, reconcile.hpp compares an engine's holdings with grants. All are free functions over plain structs that read no clock.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -4,9 +4,13 @@
 /// All decisions of cornelstall: free functions over plain structs. Nothing here reads a clock, sends a message or
 /// knows an encoding, so that any front end can drive it.
 
+#include "cornelstall/decisions/process/claims.hpp"
 #include "cornelstall/decisions/process/engine_queue.hpp"
 #include "cornelstall/decisions/process/engine_state.hpp"
+#include "cornelstall/decisions/process/lease.hpp"
 #include "cornelstall/decisions/process/membership.hpp"
+#include "cornelstall/decisions/process/orders.hpp"
+#include "cornelstall/decisions/process/reconcile.hpp"
 #include "cornelstall/decisions/request/placement.hpp"
 #include "cornelstall/decisions/request/retry.hpp"
 #include "cornelstall/decisions/request/stream_parts.hpp"
--- /dev/null
+++ b/packages/decisions/src/process/lease.cpp
@@ -0,0 +1,170 @@
+#include "cornelstall/decisions/process/lease.hpp"
+
+#include <algorithm>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+bool is_released(const lease_view& view)
+{
+    return view.last_accepted_ != log_offset{} && view.holder_.empty();
+}
+
+bool was_never_held(const lease_view& view)
+{
+    return view.last_accepted_ == log_offset{} && view.first_retained_ == log_offset{1};
+}
+
+/// When the lease of the last known holder is over for certain.
+time_point present_ends(const lease_view& view)
+{
+    return is_released(view) || was_never_held(view) ? view.read_at_ : view.read_at_ + lease_duration + lease_margin;
+}
+
+bool names_later_dropped_record(const lease_view& view, log_offset replaces)
+{
+    return view.base_ < replaces && replaces < view.first_retained_;
+}
+
+bool is_accepted(const lease_view& view, log_offset offset, const lease_record& record)
+{
+    if (record.data_centre_ != view.data_centre_ || record.replaces_ >= offset)
+    {
+        return false;
+    }
+    if (view.last_accepted_ == log_offset{} || names_later_dropped_record(view, record.replaces_))
+    {
+        return true;
+    }
+    return record.replaces_ >= view.last_accepted_ &&
+           (record.action_ == lease_action::acquire || record.holder_ == view.holder_);
+}
+
+void accept(lease_view& view, log_offset offset, const lease_record& record, time_point now)
+{
+    if (record.action_ == lease_action::acquire || record.holder_ != view.holder_)
+    {
+        view.former_ends_ = std::max(view.former_ends_, present_ends(view));
+    }
+    view.last_accepted_ = offset;
+    view.base_ = record.replaces_;
+    view.holder_ = record.action_ == lease_action::release ? vm_id{} : record.holder_;
+    view.read_at_ = now;
+}
+
+void start_reading(lease_view& view, log_offset oldest, time_point now)
+{
+    lease_view fresh;
+    fresh.data_centre_ = view.data_centre_;
+    fresh.first_retained_ = oldest;
+    fresh.next_ = oldest;
+    fresh.read_at_ = now;
+    fresh.former_ends_ = now;
+    view = std::move(fresh);
+}
+
+}  // namespace
+
+std::vector<lease_record> apply(lease_view& view, const lease_batch& batch, time_point now)
+{
+    if (view.first_retained_ == log_offset{} || batch.oldest_ > view.next_)
+    {
+        start_reading(view, batch.oldest_, now);
+    }
+    std::vector<lease_record> accepted;
+    std::ranges::for_each(batch.records_, [&](const positioned_lease_record& positioned) {
+        if (positioned.offset_ >= view.next_ && is_accepted(view, positioned.offset_, positioned.record_))
+        {
+            accept(view, positioned.offset_, positioned.record_, now);
+            accepted.push_back(positioned.record_);
+        }
+    });
+    view.next_ = std::max(view.next_, batch.next_);
+    view.complete_ = view.complete_ || batch.at_head_;
+    return accepted;
+}
+
+lease_record make_lease_record(lease_claimant& claimant, const lease_view& view, lease_action action, time_point now)
+{
+    claimant.last_attempt_ = claimant.last_attempt_.next();
+    claimant.last_started_ = now;
+    claimant.releasing_ = claimant.releasing_ || action == lease_action::release;
+    // An attempt older than a lease gives no time any more, even if it is accepted late.
+    std::erase_if(claimant.open_,
+                  [&](const open_lease_attempt& open) { return open.started_ + lease_duration <= now; });
+    claimant.open_.push_back({claimant.last_attempt_, now});
+    // Without a known record, everything that was read is replaced: nothing in it was accepted.
+    const log_offset replaces = view.last_accepted_ == log_offset{} ? view.next_ - log_offset{1} : view.last_accepted_;
+    return {view.data_centre_, action, claimant.self_, claimant.last_attempt_, replaces};
+}
+
+void note_accepted(lease_claimant& claimant, const lease_record& record)
+{
+    if (record.holder_ != claimant.self_)
+    {
+        claimant.held_from_.reset();
+        claimant.releasing_ = false;
+        return;
+    }
+    const auto found = std::ranges::find(claimant.open_, record.attempt_, &open_lease_attempt::attempt_);
+    const bool held = found != claimant.open_.end() && record.action_ != lease_action::release;
+    claimant.held_from_ = held ? std::optional{found->started_} : std::nullopt;
+    claimant.releasing_ = claimant.releasing_ && record.action_ != lease_action::release;
+    std::erase_if(claimant.open_, [&](const open_lease_attempt& open) { return open.attempt_ <= record.attempt_; });
+}
+
+milliseconds lease_remaining(const lease_claimant& claimant, const lease_view& view, time_point now)
+{
+    if (claimant.releasing_ || !claimant.held_from_ || view.holder_ != claimant.self_)
+    {
+        return milliseconds{0};
+    }
+    return remaining_until(*claimant.held_from_ + lease_duration - lease_margin, now);
+}
+
+bool may_acquire(const lease_view& view, time_point now)
+{
+    return view.complete_ && present_ends(view) <= now;
+}
+
+std::optional<lease_action> next_lease_action(const lease_claimant& claimant, const lease_view& view, time_point now)
+{
+    if (claimant.last_attempt_ != lease_attempt{} && now < claimant.last_started_ + lease_renewal_period)
+    {
+        return std::nullopt;
+    }
+    if (!claimant.self_.empty() && view.holder_ == claimant.self_)
+    {
+        return claimant.releasing_ ? lease_action::release : lease_action::renew;
+    }
+    return may_acquire(view, now) ? std::optional{lease_action::acquire} : std::nullopt;
+}
+
+order_permission may_order(const lease_claimant& claimant, const lease_view& view, bool engine_checks_fencing,
+                           time_point state_read_at, time_point now)
+{
+    if (lease_remaining(claimant, view, now) == milliseconds{0})
+    {
+        return order_permission::not_holder;
+    }
+    if (engine_checks_fencing)
+    {
+        return order_permission::allowed;
+    }
+    const time_point former_done = view.former_ends_ + longest_order;
+    if (now < former_done)
+    {
+        return order_permission::former_may_order;
+    }
+    return state_read_at < former_done ? order_permission::read_back_first : order_permission::allowed;
+}
+
+fencing_number fencing_of(const lease_view& view) noexcept
+{
+    return fencing_number{view.last_accepted_.get()};
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/decisions/src/process/model_view.cpp
@@ -0,0 +1,234 @@
+#include "process/model_view.hpp"
+
+#include <cmath>
+#include <ranges>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+const loaded_model* find_model(const engine_load& load, const model_id& model)
+{
+    const auto found = std::ranges::find(load.models_, model, &loaded_model::name_);
+    return found == load.models_.end() ? nullptr : &*found;
+}
+
+bool is_effective(const planned_order& order, const engine_load& load)
+{
+    const loaded_model* const loaded = find_model(load, order.model_);
+    switch (order.kind_)
+    {
+        case order_kind::load_model:
+            return loaded != nullptr && loaded->version_ == order.version_;
+        case order_kind::unload_model:
+            return loaded == nullptr || loaded->version_ != order.version_;
+        case order_kind::load_adapter:
+            return loaded != nullptr && loaded->adapters_.contains(order.adapter_);
+        case order_kind::set_role:
+            return load.role_ == order.role_;
+    }
+    return false;
+}
+
+const engine_state* find_engine(const order_situation& situation, const engine_id& id)
+{
+    const auto found =
+        std::ranges::find(situation.engines_, id, [](const engine_state* engine) { return engine->id_; });
+    return found == situation.engines_.end() ? nullptr : *found;
+}
+
+/// Smoothing weight of a sample that stands for the time since the former one.
+double weight_of(milliseconds elapsed) noexcept
+{
+    return 1.0 - std::exp(-static_cast<double>(elapsed.count()) / static_cast<double>(demand_smoothing.count()));
+}
+
+double blend(double former, double sample, double weight) noexcept
+{
+    return former + weight * (sample - former);
+}
+
+double time_share(double rate, double capacity) noexcept
+{
+    return rate > 0.0 && capacity > 0.0 ? rate / capacity : 0.0;
+}
+
+std::size_t engines_at_high_use(double needed)
+{
+    return static_cast<std::size_t>(std::ceil(needed / high_use - 1e-9));
+}
+
+/// Engines that carry @a model or, when there is none, any that reports its speed.
+const engine_state* reference_engine(const detail::model_view& view, const order_situation& situation)
+{
+    if (!view.serving_.empty())
+    {
+        return view.serving_.front();
+    }
+    const auto found = std::ranges::find_if(
+        situation.engines_, [](const engine_state* engine) { return engine->load_.decode_rate_.get() > 0.0; });
+    return found == situation.engines_.end() ? nullptr : *found;
+}
+
+void set_target(detail::model_view& view, time_point now)
+{
+    const std::size_t least = std::max(view.min_ready(), engines_at_high_use(view.needed_));
+    const double use = view.have() == 0 ? view.needed_ : view.needed_ / static_cast<double>(view.have());
+    view.target_ =
+        use > high_use || view.have() == 0 ? std::max(view.have(), least) : std::max(view.have(), view.min_ready());
+    if (use >= low_use || view.in_service() <= least)
+    {
+        view.demand_->low_.reset();
+        return;
+    }
+    view.demand_->low_ = view.demand_->low_.value_or(now);
+    view.surplus_ = *view.demand_->low_ + low_use_time <= now;
+}
+
+void count_orders(detail::model_view& view, const order_planner& planner)
+{
+    const auto count = [&](const auto& entry) {
+        const planned_order& order = entry.second.order_;
+        if (order.model_ == view.policy_->name_)
+        {
+            view.loading_ += order.kind_ == order_kind::load_model ? 1U : 0U;
+            view.changing_ += order.kind_ == order_kind::unload_model || order.kind_ == order_kind::set_role ? 1U : 0U;
+        }
+    };
+    std::ranges::for_each(planner.open_, count);
+    std::ranges::for_each(planner.draining_, count);
+}
+
+detail::model_view make_view(order_planner& planner, const order_situation& situation, const model_policy& policy)
+{
+    detail::model_view view;
+    view.policy_ = &policy;
+    view.demand_ = &planner.demand_[policy.name_];
+    count_orders(view, planner);
+    const auto serves = [&](const engine_state* engine) {
+        const auto open = planner.open_.find(engine->id_);
+        const bool leaves = open != planner.open_.end() && open->second.order_.kind_ != order_kind::load_adapter;
+        return engine->condition_ == engine_condition::ready && !leaves && !planner.draining_.contains(engine->id_) &&
+               find_model(engine->load_, policy.name_) != nullptr;
+    };
+    std::ranges::copy_if(situation.engines_, std::back_inserter(view.serving_), serves);
+    if (const engine_state* const reference = reference_engine(view, situation); reference != nullptr)
+    {
+        view.needed_ = engines_needed(*view.demand_, reference->load_);
+        const double prefill = time_share(view.demand_->prefill_.get(), reference->load_.prefill_rate_.get());
+        view.prefill_share_ = time_share(prefill, view.needed_);
+    }
+    set_target(view, situation.now_);
+    return view;
+}
+
+}  // namespace
+
+double engines_needed(const model_demand& demand, const engine_load& engine) noexcept
+{
+    const double decode_capacity = engine.decode_rate_.get() * static_cast<double>(engine.slots_);
+    return time_share(demand.prefill_.get(), engine.prefill_rate_.get()) +
+           time_share(demand.decode_.get(), decode_capacity);
+}
+
+void note_demand(order_planner& planner, const model_id& model, const demand_sample& sample, time_point now)
+{
+    model_demand& demand = planner.demand_[model];
+    const double weight =
+        demand.noted_ ? weight_of(std::chrono::duration_cast<milliseconds>(now - demand.noted_at_)) : 1.0;
+    demand.prefill_ = token_rate{blend(demand.prefill_.get(), sample.prefill_.get(), weight)};
+    demand.decode_ = token_rate{blend(demand.decode_.get(), sample.decode_.get(), weight)};
+    demand.worth_ = blend(demand.worth_, sample.worth_, weight);
+    demand.noted_ = true;
+    demand.noted_at_ = now;
+}
+
+namespace detail
+{
+
+std::size_t model_view::have() const noexcept
+{
+    return serving_.size() + loading_;
+}
+
+std::size_t model_view::min_ready() const noexcept
+{
+    return static_cast<std::size_t>(std::max(policy_->min_ready_, 0));
+}
+
+std::size_t model_view::in_service() const
+{
+    return serving_.size() - count_role(engine_role::prefill);
+}
+
+std::size_t model_view::missing() const noexcept
+{
+    return target_ > have() ? target_ - have() : 0;
+}
+
+bool model_view::is_below_minimum() const
+{
+    return in_service() + loading_ < min_ready();
+}
+
+bool model_view::is_outdated(const engine_state& engine) const
+{
+    const loaded_model* const loaded = find_model(engine.load_, policy_->name_);
+    return loaded != nullptr && loaded->version_ != policy_->version_;
+}
+
+bool model_view::can_lose(const engine_state& engine) const
+{
+    const std::size_t lost = engine.load_.role_ == engine_role::prefill ? 0 : 1;
+    return in_service() >= min_ready() + lost;
+}
+
+std::size_t model_view::count_role(engine_role role) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count(serving_, role, [](const engine_state* engine) { return engine->load_.role_; }));
+}
+
+std::size_t model_view::wanted_prefill(std::size_t present) const noexcept
+{
+    if (serving_.size() < engines_for_roles || prefill_share_ <= mixed_role_share)
+    {
+        return 0;
+    }
+    return prefill_share_ >= prefill_role_share ? serving_.size() / engines_for_roles : present;
+}
+
+double model_view::value() const noexcept
+{
+    const double unmet = std::max(needed_ - high_use * static_cast<double>(serving_.size()), 0.0);
+    return demand_->worth_ * unmet / static_cast<double>(1 + loading_);
+}
+
+double model_view::weight() const noexcept
+{
+    return demand_->worth_ * needed_ / static_cast<double>(std::max(have(), std::size_t{1}));
+}
+
+void settle(order_planner& planner, const order_situation& situation)
+{
+    std::erase_if(planner.open_, [&](const auto& entry) {
+        const engine_state* const engine = find_engine(situation, entry.first);
+        return engine == nullptr || entry.second.given_at_ + order_patience <= situation.now_ ||
+               is_effective(entry.second.order_, engine->load_);
+    });
+    std::erase_if(planner.draining_, [&](const auto& entry) { return find_engine(situation, entry.first) == nullptr; });
+}
+
+std::vector<model_view> make_views(order_planner& planner, const order_situation& situation)
+{
+    std::vector<model_view> views;
+    std::ranges::transform(situation.fleet_->models_ | std::views::values, std::back_inserter(views),
+                           [&](const model_policy& policy) { return make_view(planner, situation, policy); });
+    return views;
+}
+
+}  // namespace detail
+
+}  // namespace cornelstall
--- a/packages/value/include/cornelstall/value/ids.hpp
+++ b/packages/value/include/cornelstall/value/ids.hpp
@@ -25,6 +25,10 @@
 struct export_tag;
 struct publication_tag;
 struct idempotency_key_tag;
+struct claim_tag;
+struct body_hash_tag;
+struct order_tag;
+struct lease_attempt_tag;
 struct key_hash_tag;
 struct address_tag;
 struct attempt_tag;
@@ -68,6 +72,12 @@
 using publication_id = text_id<detail::publication_tag>;
 /// @brief The key by which a caller repeats a non-idempotent call.
 using idempotency_key = text_id<detail::idempotency_key_tag>;
+/// @brief One claim to send a non-idempotent call; resolves a lost acknowledgement.
+using claim_id = text_id<detail::claim_tag>;
+/// @brief SHA-256 of a request body, 64 lower-case hexadecimal digits.
+using body_hash = text_id<detail::body_hash_tag>;
+/// @brief One order to an engine.
+using order_id = text_id<detail::order_tag>;
 /// @brief SHA-256 of a bearer key, 64 lower-case hexadecimal digits.
 using key_hash = text_id<detail::key_hash_tag>;
 /// @brief An IP address and port, `ip:port`.
@@ -83,6 +93,8 @@
 using configuration_version = strong_number<detail::configuration_version_tag, std::uint64_t>;
 /// @brief Orders of a lease holder carry this number; it only grows.
 using fencing_number = strong_number<detail::fencing_tag, std::uint64_t>;
+/// @brief Numbers the lease records that one VM appends, from 1; resolves a lost acknowledgement.
+using lease_attempt = strong_number<detail::lease_attempt_tag, std::uint64_t>;
 /// @brief Raised by a member to refute a suspicion.
 using incarnation = strong_number<detail::incarnation_tag, std::uint64_t>;
 /// @brief Chained hash of the first blocks of a prompt.
--- /dev/null
+++ b/tests/decisions/claims_test.cpp
@@ -0,0 +1,165 @@
+#include <catch2/catch.hpp>
+
+#include "cornelstall/decisions.hpp"
+
+using namespace cornelstall;
+using std::chrono::seconds;
+
+namespace
+{
+
+const claim_key booking{caller_id{"driver"}, idempotency_key{"k"}};
+const claimed_call call{"POST", "/book", body_hash{"b"}};
+const time_point start{};
+
+claims_record claim_of(const char* id, const claimed_call& what = call)
+{
+    return claim_record{claim_id{id}, vm_id{"vm"}, booking, what};
+}
+
+claims_record outcome_of(const char* id)
+{
+    return outcome_record{claim_id{id}, booking, call, {outcome::ran, 201, "text/plain", "booked", false}};
+}
+
+claims_record abandoned_of(const char* id)
+{
+    return abandoned_record{claim_id{id}};
+}
+
+/// Appends @a records to @a index as the offsets that follow; all are retained.
+void read(claim_index& index, std::initializer_list<claims_record> records, std::uint64_t oldest = 1)
+{
+    claims_batch batch{log_offset{oldest}, index.next_, true, {}};
+    for (const claims_record& record : records)
+    {
+        batch.records_.push_back({batch.next_, record});
+        batch.next_ = batch.next_.next();
+    }
+    apply(index, batch);
+}
+
+claim_standing standing(const claim_index& index, const char* id)
+{
+    return standing_of(index, booking, claim_id{id}, 0);
+}
+
+key_verdict verdict(const claim_index& index, seconds now = seconds{0})
+{
+    return judge_key(index, booking, call, start + now, start + seconds{5}).verdict_;
+}
+
+}  // namespace
+
+TEST_CASE("the first claim in offset order that is not abandoned wins")
+{
+    claim_index index;
+    REQUIRE(standing(index, "a") == claim_standing::pending);
+    read(index, {claim_of("a"), claim_of("b")});
+    REQUIRE(standing(index, "a") == claim_standing::won);
+    REQUIRE(standing(index, "b") == claim_standing::lost);
+
+    SECTION("an abandoned claim would block its key although nothing was sent")
+    {
+        read(index, {abandoned_of("a")});
+        REQUIRE(standing(index, "a") == claim_standing::abandoned);
+        REQUIRE(standing(index, "b") == claim_standing::won);
+    }
+    SECTION("a repeated append of a claim or outcome must not change the winner")
+    {
+        read(index, {claim_of("b"), outcome_of("a"), outcome_of("a")});
+        REQUIRE(standing(index, "b") == claim_standing::lost);
+        REQUIRE(verdict(index) == key_verdict::replay);
+    }
+    SECTION("a read that is repeated must not apply records twice")
+    {
+        apply(index, {log_offset{1}, log_offset{2}, true, {{log_offset{1}, abandoned_of("a")}}});
+        REQUIRE(standing(index, "a") == claim_standing::won);
+    }
+}
+
+TEST_CASE("a claim that arrives after its abandoned record does not block the key")
+{
+    claim_index index;
+    read(index, {abandoned_of("late"), claim_of("late"), claim_of("b")});
+    REQUIRE(standing(index, "late") == claim_standing::abandoned);
+    REQUIRE(standing(index, "b") == claim_standing::won);
+}
+
+TEST_CASE("a repeat of a key never leads to a second call while the first is retained")
+{
+    claim_index index;
+    REQUIRE(verdict(index) == key_verdict::index_incomplete);
+    read(index, {});
+    REQUIRE(verdict(index) == key_verdict::may_claim);
+    read(index, {claim_of("a")});
+    REQUIRE(verdict(index) == key_verdict::wait);
+    REQUIRE(verdict(index, seconds{5}) == key_verdict::unknown);
+
+    SECTION("the recorded outcome is replayed with its body")
+    {
+        read(index, {outcome_of("a")});
+        const key_decision decision = judge_key(index, booking, call, start, start);
+        REQUIRE(decision.verdict_ == key_verdict::replay);
+        REQUIRE(decision.answer_->body_ == "booked");
+    }
+    SECTION("another request under the key would get the answer of the first")
+    {
+        const claimed_call other{"POST", "/book", body_hash{"c"}};
+        REQUIRE(judge_key(index, booking, other, start, start).verdict_ == key_verdict::different_request);
+        read(index, {outcome_of("a")});
+        REQUIRE(judge_key(index, booking, other, start, start).verdict_ == key_verdict::different_request);
+    }
+    SECTION("the outcome alone still blocks the key when the log has dropped the claim")
+    {
+        read(index, {outcome_of("a"), claim_of("b")});
+        read(index, {}, 2);
+        REQUIRE(verdict(index) == key_verdict::replay);
+        REQUIRE(standing(index, "b") == claim_standing::lost);
+    }
+}
+
+TEST_CASE("records that the log dropped are forgotten, so memory does not grow with the age of the process")
+{
+    claim_index index;
+    read(index, {claim_of("a"), outcome_of("a"), abandoned_of("b")});
+    read(index, {}, 4);
+    REQUIRE(index.keys_.empty());
+    REQUIRE(index.key_of_claim_.empty());
+    REQUIRE(index.abandoned_.empty());
+    REQUIRE(index.positions_.empty());
+    REQUIRE(verdict(index) == key_verdict::may_claim);
+}
+
+TEST_CASE("a VM with a gap in its reading judges nothing, because a claim may be hidden in the gap")
+{
+    claim_index index;
+    apply(index, {log_offset{5}, log_offset{6}, false, {{log_offset{5}, claim_of("old")}}});
+    REQUIRE(verdict(index) == key_verdict::index_incomplete);
+    read(index, {}, 5);
+    REQUIRE(verdict(index) == key_verdict::wait);
+
+    apply(index, {log_offset{9}, log_offset{10}, false, {{log_offset{9}, claim_of("mine")}}});
+    REQUIRE(verdict(index) == key_verdict::index_incomplete);
+    REQUIRE(standing(index, "mine") == claim_standing::unjudged);
+    REQUIRE(standing_of(index, booking, claim_id{"mine"}, index.generation_) == claim_standing::won);
+}
+
+TEST_CASE("a paused claimant does not send after its time, nor near its end")
+{
+    REQUIRE(may_send(start, seconds{5}, start + seconds{4}));
+    REQUIRE_FALSE(may_send(start, seconds{5}, start + seconds{5} - claim_margin));
+    REQUIRE_FALSE(may_send(start, seconds{5}, start + seconds{60}));
+    SECTION("a claim that outlives its log record could be sent beside a second one")
+    {
+        REQUIRE(claim_duration(seconds{60}, seconds{40}) == seconds{20});
+        REQUIRE(claim_duration(seconds{5}, seconds{40}) == seconds{5});
+    }
+}
+
+TEST_CASE("an outcome above the limit is cut and marked, so that a replay is not taken for the whole body")
+{
+    const recorded_answer cut = limit_answer({outcome::ran, 200, "", std::string(recorded_body_limit.get() + 1, 'x')});
+    REQUIRE(cut.truncated_);
+    REQUIRE(cut.body_.size() == recorded_body_limit.get());
+}
--- /dev/null
+++ b/tests/decisions/lease_test.cpp
@@ -0,0 +1,178 @@
+#include <catch2/catch.hpp>
+
+#include "cornelstall/decisions.hpp"
+
+using namespace cornelstall;
+using std::chrono::seconds;
+
+namespace
+{
+
+const data_centre_id here{"dc"};
+const time_point start{};
+
+struct reader
+{
+    lease_view view_;
+    lease_claimant claimant_;
+
+    explicit reader(const char* vm)
+    {
+        claimant_.self_ = vm_id{vm};
+        view_.data_centre_ = here;
+    }
+
+    void read(const std::vector<lease_record>& log, seconds now, std::uint64_t oldest = 1)
+    {
+        lease_batch batch{log_offset{oldest}, log_offset{log.size() + 1}, true, {}};
+        for (std::uint64_t offset = std::max(oldest, view_.next_.get()); offset <= log.size(); ++offset)
+        {
+            batch.records_.push_back({log_offset{offset}, log[offset - 1]});
+        }
+        for (const lease_record& record : apply(view_, batch, start + now))
+        {
+            note_accepted(claimant_, record);
+        }
+    }
+
+    lease_record make(lease_action action, seconds now)
+    {
+        return make_lease_record(claimant_, view_, action, start + now);
+    }
+
+    [[nodiscard]] milliseconds remaining(seconds now) const
+    {
+        return lease_remaining(claimant_, view_, start + now);
+    }
+
+    [[nodiscard]] std::optional<lease_action> next(seconds now) const
+    {
+        return next_lease_action(claimant_, view_, start + now);
+    }
+};
+
+}  // namespace
+
+TEST_CASE("of two racing acquisitions the first in the log is accepted by all VMs")
+{
+    reader a("a");
+    reader b("b");
+    a.read({}, seconds{0});
+    b.read({}, seconds{0});
+    REQUIRE(a.next(seconds{0}) == lease_action::acquire);
+    const std::vector log{a.make(lease_action::acquire, seconds{0}), b.make(lease_action::acquire, seconds{0})};
+    a.read(log, seconds{1});
+    b.read(log, seconds{1});
+    REQUIRE(a.remaining(seconds{1}) == seconds{12});
+    REQUIRE(b.remaining(seconds{1}) == seconds{0});
+    REQUIRE(fencing_of(b.view_) == fencing_number{1});
+
+    SECTION("another VM that tries too early could overlap with a holder whose clock is slow")
+    {
+        REQUIRE_FALSE(may_acquire(b.view_, start + seconds{17}));
+        REQUIRE(may_acquire(b.view_, start + seconds{18}));
+    }
+    SECTION("a paused holder does not order after its time")
+    {
+        REQUIRE(a.remaining(seconds{13}) == seconds{0});
+        REQUIRE(may_order(a.claimant_, a.view_, true, start, start + seconds{13}) == order_permission::not_holder);
+    }
+    SECTION("a renewal counts from before its append, however late its acknowledgement or arrival")
+    {
+        auto longer = log;
+        longer.push_back(a.make(lease_action::renew, seconds{5}));
+        a.read(longer, seconds{12});
+        REQUIRE(a.remaining(seconds{12}) == seconds{6});
+        REQUIRE(fencing_of(a.view_) == fencing_number{3});
+    }
+    SECTION("a renewal that arrives after another VM's acquisition is void")
+    {
+        auto longer = log;
+        const lease_record late = a.make(lease_action::renew, seconds{5});
+        longer.push_back(b.make(lease_action::acquire, seconds{18}));
+        longer.push_back(late);
+        a.read(longer, seconds{19});
+        b.read(longer, seconds{19});
+        REQUIRE(a.remaining(seconds{19}) == seconds{0});
+        REQUIRE(b.view_.holder_ == vm_id{"b"});
+        REQUIRE(b.remaining(seconds{19}) == seconds{12});
+    }
+    SECTION("after a release another VM need not wait, and the holder stops before the release is acknowledged")
+    {
+        auto longer = log;
+        longer.push_back(a.make(lease_action::release, seconds{5}));
+        REQUIRE(a.remaining(seconds{5}) == seconds{0});
+        b.read(longer, seconds{6});
+        REQUIRE(may_acquire(b.view_, start + seconds{6}));
+    }
+}
+
+TEST_CASE("an engine that ignores fencing numbers gets no order while a former holder's order may be in execution")
+{
+    reader a("a");
+    reader b("b");
+    a.read({}, seconds{0});
+    std::vector log{a.make(lease_action::acquire, seconds{0})};
+    b.read(log, seconds{1});
+    log.push_back(b.make(lease_action::acquire, seconds{18}));
+    b.read(log, seconds{18});
+    log.push_back(b.make(lease_action::renew, seconds{23}));
+    b.read(log, seconds{23});
+    const auto permission = [&](seconds read_back, seconds now) {
+        return may_order(b.claimant_, b.view_, false, start + read_back, start + now);
+    };
+    REQUIRE(may_order(b.claimant_, b.view_, true, start, start + seconds{23}) == order_permission::allowed);
+    REQUIRE(permission(seconds{23}, seconds{27}) == order_permission::former_may_order);
+    REQUIRE(permission(seconds{27}, seconds{28}) == order_permission::read_back_first);
+    REQUIRE(permission(seconds{28}, seconds{28}) == order_permission::allowed);
+}
+
+TEST_CASE("a VM that starts after the log has dropped records agrees with older VMs")
+{
+    reader a("a");
+    reader b("b");
+    a.read({}, seconds{0});
+    std::vector log{a.make(lease_action::acquire, seconds{0})};
+    a.read(log, seconds{0});
+    const lease_record raced{here, lease_action::acquire, vm_id{"x"}, lease_attempt{1}, log_offset{0}};
+    log.push_back(raced);
+    log.push_back(a.make(lease_action::renew, seconds{5}));
+    a.read(log, seconds{5});
+
+    SECTION("a void record that is first in the retained log must not be taken for the holder's")
+    {
+        b.read(log, seconds{6}, 2);
+        REQUIRE(b.view_.holder_ == vm_id{"a"});
+        REQUIRE(b.view_.last_accepted_ == log_offset{3});
+    }
+    SECTION("with an empty retained log it waits, and its acquisition is accepted by VMs that know older records")
+    {
+        b.read(log, seconds{6}, 4);
+        REQUIRE_FALSE(may_acquire(b.view_, start + seconds{22}));
+        log.push_back(b.make(lease_action::acquire, seconds{23}));
+        a.read(log, seconds{24}, 4);
+        b.read(log, seconds{24}, 4);
+        REQUIRE(a.view_.holder_ == vm_id{"b"});
+        REQUIRE(b.remaining(seconds{24}) > seconds{0});
+    }
+    SECTION("a gap in reading takes the lease away from a holder")
+    {
+        a.read(log, seconds{6}, 5);
+        REQUIRE(a.remaining(seconds{6}) == seconds{0});
+    }
+}
+
+TEST_CASE("renewals are due every 5 s, and a release is repeated until it is accepted")
+{
+    reader a("a");
+    a.read({}, seconds{0});
+    std::vector log{a.make(lease_action::acquire, seconds{0})};
+    a.read(log, seconds{0});
+    REQUIRE_FALSE(a.next(seconds{4}));
+    REQUIRE(a.next(seconds{5}) == lease_action::renew);
+    (void)a.make(lease_action::release, seconds{5});
+    REQUIRE(a.next(seconds{10}) == lease_action::release);
+    log.push_back(a.make(lease_action::release, seconds{10}));
+    a.read(log, seconds{10});
+    REQUIRE(a.view_.holder_.empty());
+}
