--- /dev/null
+++ b/packages/runtime/src/process/entry_state.cpp
@@ -0,0 +1,104 @@
+#include "cornelstall/runtime/process/entry_state.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <random>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+/// A VM id names one run of a process: a restarted process must not be taken for its predecessor.
+vm_id make_vm_id(const std::string& name)
+{
+    std::random_device source;
+    const auto high = static_cast<std::uint64_t>(source()) << 32U;
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(high | source()));
+    return vm_id{name + "-" + text.data()};
+}
+
+member self_of(const settings& values, const vm_id& id)
+{
+    return {id, values.peer_advertise_, values.data_centre_, incarnation{1}, member_state::alive};
+}
+
+}  // namespace
+
+std::shared_ptr<const version_state> make_version_state(std::shared_ptr<const configuration> in_force)
+{
+    auto result = std::make_shared<version_state>();
+    result->configuration_ = std::move(in_force);
+    for (const auto& [name, service] : result->configuration_->services_)
+    {
+        std::ranges::for_each(service.callers_, [&result, &service = service](const caller_policy& caller) {
+            result->callers_.emplace(caller.key_, authenticated_caller{&service, &caller});
+        });
+    }
+    return result;
+}
+
+entry_state::entry_state(settings values, const executor& where)
+    : settings_(std::move(values)),
+      executor_(where),
+      self_(make_vm_id(settings_.name_)),
+      membership_(make_membership(self_of(settings_, self_), std::chrono::steady_clock::now())),
+      access_(make_local_access(*this))
+{}
+
+request_id next_request_id(entry_state& state)
+{
+    return request_id{"req-" + state.self_.get() + "-" + std::to_string(state.next_request_++)};
+}
+
+void explain(entry_state& state, const request_id& request, std::string text)
+{
+    state.explanations_.push_back({request, std::move(text)});
+    if (state.explanations_.size() > max_explanations)
+    {
+        state.explanations_.pop_front();
+    }
+}
+
+owner_access make_local_access(entry_state& state)
+{
+    owner_access access;
+    access.reserve_ = [&state](engine_id engine, queue_entry entry) -> task<reservation> {
+        const auto found = state.engines_.find(engine);
+        if (found == state.engines_.end())
+        {
+            co_return queue_refusal{refusal_reason::no_engine_ready, "the engine has left", std::nullopt};
+        }
+        co_return co_await reserve(state.owner_, found->second, std::move(entry), state.metrics_);
+    };
+    access.first_part_ = [&state](const engine_id& engine, const grant_id& given) {
+        note_first_part(state.owner_.engines_[engine].queue_, given);
+        if (const auto found = state.engines_.find(engine); found != state.engines_.end())
+        {
+            pump(state.owner_, found->second, state.metrics_);
+        }
+    };
+    access.release_ = [&state](const engine_id& engine, const grant_id& given, token_count used) {
+        release(state.owner_.engines_[engine].queue_, given, used, std::chrono::steady_clock::now());
+        if (const auto found = state.engines_.find(engine); found != state.engines_.end())
+        {
+            pump(state.owner_, found->second, state.metrics_);
+        }
+    };
+    access.withdraw_ = [&state](const engine_id& engine, const request_id& request, attempt_number attempt) {
+        withdraw_reservation(state.owner_, engine, request, attempt);
+    };
+    return access;
+}
+
+bool owns(const entry_state& state, const engine_id& engine)
+{
+    auto candidates = live_members(state.membership_, state.settings_.data_centre_);
+    std::erase_if(candidates, [](const member& candidate) { return candidate.state_ == member_state::leaving; });
+    return owner_of(engine.get(), candidates) == state.self_;
+}
+
+}  // namespace cornelstall
