Add placement and the engine queue

Cause: owners need to grant an engine's capacity by rank, floor and fair share, and entry VMs need to choose an engine.

A request too large for the free memory is passed over until the requests behind it got as much memory as it needs; freed memory is then kept for it. cached_tokens searches from the first block with doubling steps, because a linear search over the thousand blocks of a long prompt at 500 engines does not fit in the 50 µs of a placement decision. Structs gain members; names and signatures stay.

--- a/packages/decisions/include/cornelstall/decisions/process/engine_queue.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/engine_queue.hpp
@@ -28,6 +28,8 @@
     time_point deadline_;
     time_point arrived_;
     bool no_wait_ = false;  ///< refuse instead of queueing (segments of a split prompt)
+    /// Memory granted to entries behind this one while it did not fit; kept by the queue.
+    token_count passed_over_{0};
 };
 
 /// @brief Capacity given to one request until it is released.
@@ -36,21 +38,26 @@
     grant_id id_;
     queue_entry entry_;
     time_point granted_at_;
-    bool prefilling_ = true;  ///< until the first part is seen
-    int priority_ = 0;        ///< passed to the engine, lower first
+    bool prefilling_ = true;    ///< until the first part is seen
+    int priority_ = 0;          ///< passed to the engine, lower first
+    token_count charged_{0};    ///< tokens charged to the caller's share and the floors
+    double floor_spent_ = 0.0;  ///< floor credit that the grant took from its rank
+    /// Rates that the engine reported when the grant was given; 0 in an adopted grant, from which no speed is learned.
+    token_rate prefill_rate_;
+    token_rate decode_rate_;
 };
 
 /// @brief Fair-queuing state of one caller within one rank.
 struct caller_share
 {
-    double virtual_finish_ = 0.0;
+    double virtual_finish_ = 0.0;  ///< tokens granted so far divided by the weight, on the rank's virtual time
     std::deque<queue_entry> waiting_;
 };
 
 /// @brief Queue of one rank.
 struct rank_queue
 {
-    double virtual_time_ = 0.0;
+    double virtual_time_ = 0.0;  ///< largest start tag among the granted requests
     double floor_ = 0.0;         ///< declared share of granted tokens
     double floor_credit_ = 0.0;  ///< tokens owed to the floor
     std::map<caller_id, caller_share> callers_;
@@ -73,6 +80,8 @@
     std::uint64_t next_grant_ = 1;
     /// Observed speed relative to the engine's report; learned from finished requests.
     double speed_factor_ = 1.0;
+    /// Observed output relative to the maximum output; learned from finished requests.
+    double output_ratio_ = 1.0;
 };
 
 /// @brief Why the owner refuses a request, and when to try again.
@@ -92,39 +101,61 @@
 
 /// @brief Estimated time until @a entry would be finished: wait behind queued and granted work of its rank and above,
 /// prefill, decode.
+///
+/// The wait is the longest of those for prefill, for a slot and for KV memory. Work of the same rank counts as far as
+/// fair queuing puts it before the entry. A rank with a floor waits no longer than its floor implies.
+/// @return `milliseconds::max()` when the engine reports no rates or no slots
+/// Linear in the waiting requests and the grants.
 [[nodiscard]] milliseconds estimate_finish(const engine_queue& queue, const engine_state& engine,
                                            const queue_entry& entry);
 
 /// @brief Puts @a entry in the queue, or says why not. An entry that cannot finish before its deadline is refused.
+///
+/// Reasons: `no_engine_ready`, `time_limit_passed`, `memory_unavailable` (never fits, or does not fit now and is marked
+/// `no_wait_`), `time_limit_unreachable`, `caller_queue_full`, `queue_full`. A quarter of the queue is kept for each
+/// other rank, and a caller may wait with no more requests than places are left to its rank, so that neither a rank nor
+/// a caller can shut out another.
+/// A `no_wait_` entry that is accepted is granted by the next call of `grant_next`.
+/// Linear in the waiting requests and the grants.
 [[nodiscard]] std::optional<queue_refusal> enqueue(engine_queue& queue, const engine_state& engine, queue_entry entry,
                                                    time_point now);
 
 /// @brief Grants as many waiting requests as the engine has room for, in order of rank, floors and fair shares.
+///
+/// A request that does not fit in KV memory is passed over until the requests behind it have been given as much memory
+/// as it needs; from then on freed memory is kept for it.
+/// Each grant costs O(w + g + c log c) for w waiting requests, g grants and c callers.
 [[nodiscard]] std::vector<grant> grant_next(engine_queue& queue, const engine_state& engine, time_point now);
 
-/// @brief Removes the requests whose deadline has passed or cannot be met any more.
+/// @brief Removes the requests whose deadline has passed (`expired_in_queue`) or cannot be met any more
+/// (`time_limit_unreachable`), and `no_wait_` requests that were not granted (`memory_unavailable`).
+/// Linear in the waiting requests.
 [[nodiscard]] std::vector<queue_removal> expire(engine_queue& queue, const engine_state& engine, time_point now);
 
 /// @brief Removes everything that waits, for instance when the engine drains or the ownership moves.
+/// Linear in the waiting requests.
 [[nodiscard]] std::vector<queue_removal> remove_all(engine_queue& queue, refusal_reason reason,
                                                     const std::string& message);
 
 /// @brief Removes one waiting request whose caller has gone.
 /// @return true when it was waiting
+/// Linear in the waiting requests.
 bool withdraw(engine_queue& queue, const request_id& request, attempt_number attempt);
 
-/// @brief Notes that the first part of a granted request was seen: its prefill is over.
+/// @brief Notes that the first part of a granted request was seen: its prefill is over. Logarithmic in the grants.
 void note_first_part(engine_queue& queue, const grant_id& id);
 
 /// @brief Ends a grant and returns what was not used to the caller's share.
 /// @param used_output tokens generated
 /// @return the ended grant, or nothing when it had ended before (releases are repeated)
+/// Logarithmic in the grants, linear in the callers of the rank.
 std::optional<grant> release(engine_queue& queue, const grant_id& id, token_count used_output, time_point now);
 
-/// @brief Takes over a running grant announced by its holder after the former owner's death.
+/// @brief Takes over a running grant announced by its holder after the former owner's death. The caller's share is
+/// charged, because the former owner's charges are lost. Logarithmic in the grants.
 void adopt(engine_queue& queue, const grant& announced);
 
-/// @brief Number of waiting requests, in total or of one rank.
+/// @brief Number of waiting requests, in total or of one rank. Linear in the callers.
 [[nodiscard]] int queued(const engine_queue& queue) noexcept;
 [[nodiscard]] int queued(const engine_queue& queue, rank which) noexcept;
 
--- a/packages/decisions/include/cornelstall/decisions/process/engine_state.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/engine_state.hpp
@@ -72,7 +72,7 @@
 [[nodiscard]] bool has_model(const engine_state& engine, const model_id& model, const adapter_id& adapter);
 
 /// @brief Tokens of the longest cached prefix among @a keys; 0 when the cache index is doubtful.
-/// Linear in the number of keys.
+/// Logarithmic in the number of keys that are cached.
 [[nodiscard]] token_count cached_tokens(const engine_state& engine, const std::vector<prefix_key>& keys);
 
 }  // namespace cornelstall
--- /dev/null
+++ b/tests/decisions/queue_samples.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <string>
+
+#include "cornelstall/decisions.hpp"
+
+/// @file
+/// Sample engines and requests for tests of placement and the engine queue.
+
+namespace cornelstall::test
+{
+
+inline const time_point start_time{std::chrono::hours{1}};
+
+/// @brief A ready engine with model "m": 10,000 prefill and 100 decode tokens a second.
+inline engine_state sample_engine(const std::string& id, int slots = 8, std::int64_t memory = 200'000)
+{
+    engine_state engine;
+    engine.id_ = engine_id{id};
+    engine.condition_ = engine_condition::ready;
+    engine.cache_doubtful_ = false;
+    engine.load_.slots_ = slots;
+    engine.load_.kv_total_ = token_count{memory};
+    engine.load_.prefill_rate_ = token_rate{10'000.0};
+    engine.load_.decode_rate_ = token_rate{100.0};
+    engine.load_.models_.push_back({model_id{"m"}, model_version{"1"}, {}});
+    return engine;
+}
+
+/// @brief A request with an uncached prompt and a deadline ten minutes after `start_time`.
+inline queue_entry sample_entry(const std::string& request, const std::string& caller, rank which = rank::standard,
+                                std::int64_t prompt = 1000, std::int64_t output = 100)
+{
+    queue_entry entry;
+    entry.request_ = request_id{request};
+    entry.attempt_ = attempt_number{1};
+    entry.holder_ = vm_id{"vm"};
+    entry.caller_ = caller_id{caller};
+    entry.rank_ = which;
+    entry.model_ = model_id{"m"};
+    entry.prompt_ = token_count{prompt};
+    entry.uncached_ = token_count{prompt};
+    entry.max_output_ = token_count{output};
+    entry.deadline_ = start_time + std::chrono::minutes{10};
+    return entry;
+}
+
+inline placement_request sample_request(const std::string& id, std::int64_t prompt = 1000)
+{
+    placement_request request;
+    request.id_ = request_id{id};
+    request.model_ = model_id{"m"};
+    request.prompt_ = token_count{prompt};
+    request.max_output_ = token_count{100};
+    return request;
+}
+
+}  // namespace cornelstall::test
