--- a/packages/decisions/include/cornelstall/decisions/process/orders.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/orders.hpp
@@ -36,7 +36,7 @@
 inline constexpr milliseconds drain_settling_time{3'000};
 
 /// @brief Demand for one model, smoothed.
-struct model_demand
+struct smoothed_demand
 {
     token_rate prefill_;             ///< uncached prompt tokens a second
     token_rate decode_;              ///< generated tokens a second
@@ -87,7 +87,7 @@
 /// and engines refuse a second load of the same model.
 struct order_planner
 {
-    std::map<model_id, model_demand> demand_;
+    std::map<model_id, smoothed_demand> demand_;
     std::map<engine_id, open_order> open_;      ///< one order per engine at a time
     std::map<engine_id, open_order> draining_;  ///< engines that are emptied for an order, since `given_at_`
 };
@@ -120,7 +120,7 @@
 void note_refused(order_planner& planner, const engine_id& engine);
 
 /// @brief Engines that @a demand would occupy at full use on engines like @a engine.
-[[nodiscard]] double engines_needed(const model_demand& demand, const engine_load& engine) noexcept;
+[[nodiscard]] double engines_needed(const smoothed_demand& demand, const engine_load& engine) noexcept;
 
 /// @brief Plans the next orders.
 ///
--- a/packages/decisions/src/process/model_view.cpp
+++ b/packages/decisions/src/process/model_view.cpp
@@ -126,7 +126,7 @@
 
 }  // namespace
 
-double engines_needed(const model_demand& demand, const engine_load& engine) noexcept
+double engines_needed(const smoothed_demand& demand, const engine_load& engine) noexcept
 {
     const double decode_capacity = engine.decode_rate_.get() * static_cast<double>(engine.slots_);
     return time_share(demand.prefill_.get(), engine.prefill_rate_.get()) +
@@ -135,7 +135,7 @@
 
 void note_demand(order_planner& planner, const model_id& model, const demand_sample& sample, time_point now)
 {
-    model_demand& demand = planner.demand_[model];
+    smoothed_demand& demand = planner.demand_[model];
     const double weight =
         demand.noted_ ? weight_of(std::chrono::duration_cast<milliseconds>(now - demand.noted_at_)) : 1.0;
     demand.prefill_ = token_rate{blend(demand.prefill_.get(), sample.prefill_.get(), weight)};
--- a/packages/decisions/src/process/model_view.hpp
+++ b/packages/decisions/src/process/model_view.hpp
@@ -12,7 +12,7 @@
 struct model_view
 {
     const model_policy* policy_ = nullptr;
-    model_demand* demand_ = nullptr;
+    smoothed_demand* demand_ = nullptr;
     std::vector<const engine_state*> serving_;  ///< ready, loaded, not drained
     std::size_t loading_ = 0;
     std::size_t changing_ = 0;  ///< engines drained or under an order to unload or change role
--- a/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
@@ -33,28 +33,28 @@
 };
 
 /// @brief All engines owned by this VM.
-struct engine_owner
+struct owned_engine_table
 {
     std::map<engine_id, owned_engine> engines_;
 };
 
 /// @brief Floors and bounds for the queues, from the configuration in force.
-void configure_queues(engine_owner& owner, const configuration& in_force);
+void configure_queues(owned_engine_table& owner, const configuration& in_force);
 
 /// @brief Waits in the queue of @a engine until granted or refused, at the latest at the entry's deadline.
 /// When the calling task is destroyed or @a withdraw_reservation is called the entry leaves the queue.
-[[nodiscard]] task<reservation> reserve(engine_owner& owner, const engine_state& engine, queue_entry entry,
+[[nodiscard]] task<reservation> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry,
                                         metrics& counters);
 
 /// @brief Ends the wait of a request whose caller has gone.
-void withdraw_reservation(engine_owner& owner, const engine_id& engine, const request_id& request,
+void withdraw_reservation(owned_engine_table& owner, const engine_id& engine, const request_id& request,
                           attempt_number attempt);
 
 /// @brief Grants and expires what can be granted and must be expired now; wakes the tasks concerned.
-void pump(engine_owner& owner, const engine_state& engine, metrics& counters);
+void pump(owned_engine_table& owner, const engine_state& engine, metrics& counters);
 
 /// @brief Sends everything that waits for @a engine back with @a reason, because the engine drains or changes its
 /// owner.
-void evict(engine_owner& owner, const engine_id& engine, refusal_reason reason, const std::string& message);
+void evict(owned_engine_table& owner, const engine_id& engine, refusal_reason reason, const std::string& message);
 
 }  // namespace cornelstall
--- a/packages/runtime/include/cornelstall/runtime/process/entry_state.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/entry_state.hpp
@@ -73,7 +73,7 @@
     std::map<engine_id, engine_state> engines_;  ///< engines of the own data centre
     std::set<engine_id> watched_;                ///< engines with a polling task
     std::vector<listed_vm> plain_servers_;
-    engine_owner owner_;
+    owned_engine_table owner_;
     owner_access access_;
     std::shared_ptr<const version_state> version_;
     retry_budget retries_;
--- a/packages/runtime/src/process/engine_owner.cpp
+++ b/packages/runtime/src/process/engine_owner.cpp
@@ -31,7 +31,7 @@
 
 }  // namespace
 
-void configure_queues(engine_owner& owner, const configuration& in_force)
+void configure_queues(owned_engine_table& owner, const configuration& in_force)
 {
     std::ranges::for_each(owner.engines_, [&in_force](auto& entry) {
         std::ranges::for_each(all_ranks, [&](rank which) {
@@ -40,7 +40,7 @@
     });
 }
 
-task<reservation> reserve(engine_owner& owner, const engine_state& engine, queue_entry entry, metrics& counters)
+task<reservation> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry, metrics& counters)
 {
     const auto id = engine.id_;
     const auto deadline = entry.deadline_;
@@ -75,7 +75,7 @@
     co_return std::move(*waiter->result_);
 }
 
-void withdraw_reservation(engine_owner& owner, const engine_id& engine, const request_id& request,
+void withdraw_reservation(owned_engine_table& owner, const engine_id& engine, const request_id& request,
                           attempt_number attempt)
 {
     const auto found = owner.engines_.find(engine);
@@ -88,7 +88,7 @@
            queue_refusal{refusal_reason::expired_in_queue, "the caller has gone", std::nullopt});
 }
 
-void pump(engine_owner& owner, const engine_state& engine, metrics& counters)
+void pump(owned_engine_table& owner, const engine_state& engine, metrics& counters)
 {
     auto& owned = owner.engines_[engine.id_];
     const auto now = clock::now();
@@ -105,7 +105,7 @@
     });
 }
 
-void evict(engine_owner& owner, const engine_id& engine, refusal_reason reason, const std::string& message)
+void evict(owned_engine_table& owner, const engine_id& engine, refusal_reason reason, const std::string& message)
 {
     const auto found = owner.engines_.find(engine);
     if (found != owner.engines_.end())
