Add stand-ins of the engine, log, platform and plain service

Cause: the request path, claims and orders need outside systems to run against, and no third-party server may be used.

--- /dev/null
+++ b/standins/include/cornelstall/standins.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+#include "cornelstall/standins/process/engine.hpp"
+#include "cornelstall/standins/process/log.hpp"
+#include "cornelstall/standins/process/plain.hpp"
+#include "cornelstall/standins/process/platform.hpp"
+#include "cornelstall/standins/process/running_standin.hpp"
