--- /dev/null
+++ b/packages/runtime/include/cornelstall/runtime/connection/grpc_call.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include <grpcpp/support/status.h>
+
+#include "cornelstall/runtime/process/task.hpp"
+
+namespace cornelstall
+{
+
+/// @brief Receives the status of a gRPC call on one of gRPC's threads.
+using grpc_callback = std::function<void(grpc::Status)>;
+
+/// @brief Starts a gRPC call and suspends the calling task until it has ended; resumes on the task's own executor.
+///
+/// gRPC's thread only hands the status over. Whatever the call uses must be kept alive by the callback that @a start
+/// passes to gRPC. The executor must outlive the call, so a call needs a deadline or must be cancelled before the
+/// executor ends.
+/// @param start called with the callback that ends the wait
+template <class Start>
+[[nodiscard]] task<grpc::Status> await_call(Start start)
+{
+    auto where = co_await boost::asio::this_coro::executor;
+    co_return co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>&,
+                                                   void(std::exception_ptr, grpc::Status)>(
+        [where](auto handler, Start begin) {
+            // std::function copies its target, Asio's handler can only be moved.
+            auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+            begin(grpc_callback([where, shared](grpc::Status status) mutable {
+                boost::asio::post(where, [resume = std::move(shared), status = std::move(status)] {
+                    (*resume)(std::exception_ptr{}, status);
+                });
+            }));
+        },
+        boost::asio::use_awaitable, std::move(start));
+}
+
+}  // namespace cornelstall
