Join the peer protocol with the request path

Change: engine and VM list codecs use ids 241 to 245; the owner's answer is named reservation_result.

--- a/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
@@ -13,7 +13,7 @@
 {
 
 /// @brief The owner's answer to a reservation: a grant, or a refusal.
-using reservation = std::variant<grant, queue_refusal>;
+using reservation_result = std::variant<grant, queue_refusal>;
 
 /// @brief A task that waits for a grant.
 struct reservation_waiter
@@ -21,7 +21,7 @@
     explicit reservation_waiter(const executor& where) : signal_(where) {}
 
     boost::asio::steady_timer signal_;  ///< cancelled when `result_` is set
-    std::optional<reservation> result_;
+    std::optional<reservation_result> result_;
 };
 
 /// @brief An engine that this VM owns: its queue and the tasks that wait in it.
@@ -43,7 +43,7 @@
 
 /// @brief Waits in the queue of @a engine until granted or refused, at the latest at the entry's deadline.
 /// When the calling task is destroyed or @a withdraw_reservation is called the entry leaves the queue.
-[[nodiscard]] task<reservation> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry,
+[[nodiscard]] task<reservation_result> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry,
                                         metrics& counters);
 
 /// @brief Ends the wait of a request whose caller has gone.
--- a/packages/runtime/include/cornelstall/runtime/process/entry_state.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/entry_state.hpp
@@ -33,7 +33,7 @@
 struct owner_access
 {
     /// Waits in the owner's queue. The second value names the owner, for the release.
-    std::function<task<reservation>(engine_id engine, queue_entry entry)> reserve_;
+    std::function<task<reservation_result>(engine_id engine, queue_entry entry)> reserve_;
     /// Tells the owner that the prefill is over.
     std::function<void(engine_id engine, grant_id given)> first_part_;
     /// Ends a grant, repeated until the owner acknowledges.
--- a/packages/runtime/src/process/engine_owner.cpp
+++ b/packages/runtime/src/process/engine_owner.cpp
@@ -10,7 +10,7 @@
 
 using clock = std::chrono::steady_clock;
 
-void finish(owned_engine& owned, const std::pair<request_id, attempt_number>& key, reservation result)
+void finish(owned_engine& owned, const std::pair<request_id, attempt_number>& key, reservation_result result)
 {
     const auto found = owned.waiting_.find(key);
     if (found == owned.waiting_.end())
@@ -40,7 +40,7 @@
     });
 }
 
-task<reservation> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry, metrics& counters)
+task<reservation_result> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry, metrics& counters)
 {
     const auto id = engine.id_;
     const auto deadline = entry.deadline_;
--- a/packages/runtime/src/process/entry_state.cpp
+++ b/packages/runtime/src/process/entry_state.cpp
@@ -66,7 +66,7 @@
 owner_access make_local_access(entry_state& state)
 {
     owner_access access;
-    access.reserve_ = [&state](engine_id engine, queue_entry entry) -> task<reservation> {
+    access.reserve_ = [&state](engine_id engine, queue_entry entry) -> task<reservation_result> {
         const auto found = state.engines_.find(engine);
         if (found == state.engines_.end())
         {
--- a/packages/wire/include/cornelstall/wire.hpp
+++ b/packages/wire/include/cornelstall/wire.hpp
@@ -1,16 +1,11 @@
 #pragma once
 
 /// @file
-<<<<<<< HEAD
 /// Encodings of what cornelstall exchanges with other systems and keeps in the log. Nothing here decides anything.
 
 #include "cornelstall/wire/connection/engine_messages.hpp"
+#include "cornelstall/wire/connection/peer_codec.hpp"
+#include "cornelstall/wire/connection/peer_messages.hpp"
 #include "cornelstall/wire/process/vm_list.hpp"
 #include "cornelstall/wire/request/completion.hpp"
 #include "cornelstall/wire/version/configuration_codec.hpp"
-=======
-/// Encodings: the messages between entry processes and the formats of outside systems.
-
-#include "cornelstall/wire/connection/peer_codec.hpp"
-#include "cornelstall/wire/connection/peer_messages.hpp"
->>>>>>> peers
--- a/packages/wire/include/cornelstall/wire/connection/engine_messages.hpp
+++ b/packages/wire/include/cornelstall/wire/connection/engine_messages.hpp
@@ -22,7 +22,7 @@
 };
 
 /// @brief Adds @a bytes and returns the events completed by them. Linear in the bytes.
-/// @throws connection_error (id 221) when an event is longer than `max_event_bytes`
+/// @throws connection_error (id 241) when an event is longer than `max_event_bytes`
 [[nodiscard]] std::vector<std::string> split_events(event_splitter& splitter, std::string_view bytes);
 
 /// @brief One event of an engine's answer.
@@ -36,7 +36,7 @@
 };
 
 /// @brief Decodes the data of one event.
-/// @throws connection_error (id 222) when it is malformed
+/// @throws connection_error (id 242) when it is malformed
 [[nodiscard]] engine_event decode_engine_event(std::string_view data);
 
 /// @brief The error code in a refusal body, empty when there is none.
@@ -46,7 +46,7 @@
 [[nodiscard]] std::optional<retry_reason> retry_reason_of(int status, std::string_view code);
 
 /// @brief Decodes an engine's load report.
-/// @throws connection_error (id 223) when it is malformed
+/// @throws connection_error (id 243) when it is malformed
 [[nodiscard]] engine_load decode_engine_load(std::string_view body);
 
 /// @brief A change of an engine's prefix cache.
@@ -65,7 +65,7 @@
     std::uint64_t next_ = 0;
 };
 
-/// @throws connection_error (id 224)
+/// @throws connection_error (id 244)
 [[nodiscard]] cache_events decode_cache_events(std::string_view body);
 
 /// @brief The full list of an engine's cached prefixes.
@@ -75,7 +75,7 @@
     std::vector<cache_event> entries_;
 };
 
-/// @throws connection_error (id 224)
+/// @throws connection_error (id 244)
 [[nodiscard]] cache_list decode_cache_list(std::string_view body);
 
 }  // namespace cornelstall
--- a/packages/wire/include/cornelstall/wire/process/vm_list.hpp
+++ b/packages/wire/include/cornelstall/wire/process/vm_list.hpp
@@ -39,7 +39,7 @@
 };
 
 /// @brief Decodes the VM list; entries with an unknown role are left out.
-/// @throws connection_error (id 225) when it is malformed
+/// @throws connection_error (id 245) when it is malformed
 [[nodiscard]] vm_list decode_vm_list(std::string_view body);
 
 }  // namespace cornelstall
--- a/packages/wire/src/connection/engine_messages.cpp
+++ b/packages/wire/src/connection/engine_messages.cpp
@@ -14,10 +14,10 @@
 
 using nlohmann::json;
 
-constexpr int event_too_long = 221;
-constexpr int event_malformed = 222;
-constexpr int load_malformed = 223;
-constexpr int cache_malformed = 224;
+constexpr int event_too_long = 241;
+constexpr int event_malformed = 242;
+constexpr int load_malformed = 243;
+constexpr int cache_malformed = 244;
 
 /// Runs @a decode and turns JSON errors into a connection error.
 template <class Decode>
--- a/packages/wire/src/process/vm_list.cpp
+++ b/packages/wire/src/process/vm_list.cpp
@@ -13,7 +13,7 @@
 
 using nlohmann::json;
 
-constexpr int list_malformed = 225;
+constexpr int list_malformed = 245;
 
 std::optional<vm_role> role_of(const std::string& name)
 {
