--- a/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
@@ -18,7 +18,7 @@
 /// @brief A task that waits for a grant.
 struct reservation_waiter
 {
-    explicit reservation_waiter(const executor& where) : signal_(where) {}
+    explicit reservation_waiter(const boost::asio::any_io_executor& where) : signal_(where) {}
 
     boost::asio::steady_timer signal_;  ///< cancelled when `result_` is set
     std::optional<reservation_result> result_;
@@ -44,7 +44,7 @@
 /// @brief Waits in the queue of @a engine until granted or refused, at the latest at the entry's deadline.
 /// When the calling task is destroyed or @a withdraw_reservation is called the entry leaves the queue.
 [[nodiscard]] task<reservation_result> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry,
-                                        metrics& counters);
+                                               metrics& counters);
 
 /// @brief Ends the wait of a request whose caller has gone.
 void withdraw_reservation(owned_engine_table& owner, const engine_id& engine, const request_id& request,
--- a/packages/runtime/include/cornelstall/runtime/process/task.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/task.hpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include <pplx/pplxtasks.h>
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -62,7 +63,7 @@
 template <class Result>
 struct race_state
 {
-    explicit race_state(const executor& where) : timer_(where) {}
+    explicit race_state(const boost::asio::any_io_executor& where) : timer_(where) {}
 
     boost::asio::steady_timer timer_;
     std::optional<pplx::task<Result>> ended_;
@@ -76,8 +77,8 @@
 template <class Result>
 [[nodiscard]] task<std::optional<pplx::task<Result>>> await_task_for(pplx::task<Result> pending, milliseconds limit)
 {
-    auto where = boost::asio::any_io_executor(co_await boost::asio::this_coro::executor);
-    auto state = std::make_shared<detail::race_state<Result>>(*where.template target<executor>());
+    const boost::asio::any_io_executor where = co_await boost::asio::this_coro::executor;
+    auto state = std::make_shared<detail::race_state<Result>>(where);
     state->timer_.expires_after(limit);
     pending.then([where, state](pplx::task<Result> finished) {
         boost::asio::post(where, [state, finished] {
--- a/packages/runtime/src/process/engine_owner.cpp
+++ b/packages/runtime/src/process/engine_owner.cpp
@@ -40,7 +40,8 @@
     });
 }
 
-task<reservation_result> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry, metrics& counters)
+task<reservation_result> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry,
+                                 metrics& counters)
 {
     const auto id = engine.id_;
     const auto deadline = entry.deadline_;
@@ -50,8 +51,7 @@
     {
         co_return *refusal;
     }
-    const auto where = boost::asio::any_io_executor(co_await boost::asio::this_coro::executor);
-    auto waiter = std::make_shared<reservation_waiter>(*where.target<executor>());
+    auto waiter = std::make_shared<reservation_waiter>(co_await boost::asio::this_coro::executor);
     waiter->signal_.expires_at(deadline);
     owned.waiting_[key] = waiter;
     pump(owner, engine, counters);
--- a/packages/runtime/src/request/serve_completion.cpp
+++ b/packages/runtime/src/request/serve_completion.cpp
@@ -85,14 +85,20 @@
                         refusal.message_, refusal.retry_after_);
 }
 
+void log_unacknowledged(const request_id& request, const engine_id& engine)
+{
+    log_event(severity::warning, cancel_failed, "the engine's owner settles what it still holds",
+              {{"request", request.get()}, {"engine", engine.get()}});
+}
+
 /// Cancels what the engine may still hold, then gives the capacity back.
 task<> cancel_and_release(entry_state& state, socket_address address, engine_id engine, request_id request,
                           attempt_number attempt, grant_id given)
 {
-    if (!co_await cancel_at_engine(std::move(address), request, attempt, cancel_limit))
+    const bool acknowledged = co_await cancel_at_engine(std::move(address), request, attempt, cancel_limit);
+    if (!acknowledged)
     {
-        log_event(severity::warning, cancel_failed, "the engine's owner settles what it still holds",
-                  {{"request", request.get()}, {"engine", engine.get()}});
+        log_unacknowledged(request, engine);
     }
     state.access_.release_(engine, given, token_count{0});
 }
@@ -248,6 +254,18 @@
     (void)co_await connection.write("data: " + encode_error(problem, request.id_) + "\n\n", deadline);
 }
 
+/// Decodes a body, large ones on the library's pool.
+task<completion_call> decode_body(completion_kind kind, std::string body)
+{
+    if (body.size() <= decode_inline_bytes)
+    {
+        co_return decode_completion(kind, body);
+    }
+    const auto text = std::make_shared<std::string>(std::move(body));
+    auto decoding = pplx::create_task([kind, text] { return decode_completion(kind, *text); });
+    co_return co_await await_task(std::move(decoding));
+}
+
 task<model_request> read_request(entry_state& state, caller_connection& connection, completion_kind kind,
                                  time_point arrived)
 {
@@ -265,12 +283,7 @@
     }
     const auto& limits = caller.service_->limits_;
     auto body = co_await connection.read_body(limits.max_body_, limits.body_timeout_);
-    auto call =
-        body.size() <= decode_inline_bytes
-            ? decode_completion(kind, body)
-            : co_await await_task(pplx::create_task([kind, text = std::make_shared<std::string>(std::move(body))] {
-                  return decode_completion(kind, *text);
-              }));
+    auto call = co_await decode_body(kind, std::move(body));
     co_return make_model_request(state, version, caller, std::move(call), connection.header("X-Rank"), arrived);
 }
 
