--- a/packages/decisions/include/cornelstall/decisions/connection/peer_delta.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/peer_delta.hpp
@@ -73,14 +73,19 @@
 /// @brief The changes that @a peer has not acknowledged, oldest first, within the limits; at least one if there is any.
 ///
 /// What the peer itself told is left out. News that the peer itself is suspect or dead is always included, since only
-/// the peer can refute it. O(n log n) in the size of the view.
+/// the peer can refute it. The first message to another data centre names the sender's own. O(n log n) in the size of
+/// the view.
 [[nodiscard]] exchange_delta make_delta(const fleet_view& view, const vm_id& peer, const peer_progress& progress,
                                         exchange_scope scope, const delta_limits& limits = {});
 
+/// @brief The scope of a message: of the own data centre when its sender is a known member or names itself as one.
+[[nodiscard]] exchange_scope scope_of(const fleet_view& view, const exchange_delta& delta);
+
 /// @brief Applies a peer's message to the view and to the bookkeeping about this peer.
 ///
 /// Acknowledgements and sequences only grow, so that a repeated or late message changes nothing. An acknowledgement
-/// beyond the own sequence belongs to a former process at this address and is ignored.
+/// beyond the own sequence belongs to a former process at this address and is ignored. A peer that acknowledges nothing
+/// has not met this VM or has forgotten it, and gets everything again.
 [[nodiscard]] delta_effect apply_delta(fleet_view& view, peer_progress& progress, const exchange_delta& delta,
                                        exchange_scope scope, time_point now);
 
--- a/packages/decisions/src/connection/peer_delta.cpp
+++ b/packages/decisions/src/connection/peer_delta.cpp
@@ -62,7 +62,8 @@
 {
     for (const auto& [id, record] : records)
     {
-        if (record.changed_at_ > since && record.learned_from_ != peer)
+        const bool peer_told = !peer.empty() && record.learned_from_ == peer;
+        if (record.changed_at_ > since && !peer_told)
         {
             changes.push_back({record.changed_at_, to_item(record)});
         }
@@ -209,13 +210,30 @@
         covered = each.changed_at_;
     }
     add_suspicion_of_peer(delta, view, peer);
+    if (scope == exchange_scope::other_data_centre && progress.acknowledged_ == 0)
+    {
+        delta.members_.push_back(view.members_.self_);
+    }
     return delta;
 }
 
+exchange_scope scope_of(const fleet_view& view, const exchange_delta& delta)
+{
+    const bool names_itself = std::ranges::any_of(delta.members_, [&](const member& each) {
+        return each.id_ == delta.sender_ && each.data_centre_ == view.members_.self_.data_centre_;
+    });
+    return names_itself || view.members_.members_.contains(delta.sender_) ? exchange_scope::own_data_centre
+                                                                          : exchange_scope::other_data_centre;
+}
+
 delta_effect apply_delta(fleet_view& view, peer_progress& progress, const exchange_delta& delta, exchange_scope scope,
                          time_point now)
 {
-    if (delta.acknowledged_ <= view.members_.sequence_)
+    if (delta.acknowledged_ == 0)
+    {
+        progress.acknowledged_ = 0;
+    }
+    else if (delta.acknowledged_ <= view.members_.sequence_)
     {
         progress.acknowledged_ = std::max(progress.acknowledged_, delta.acknowledged_);
     }
--- a/packages/runtime/include/cornelstall/runtime.hpp
+++ b/packages/runtime/include/cornelstall/runtime.hpp
@@ -10,5 +10,6 @@
 #include "cornelstall/runtime/connection/peer_credentials.hpp"
 #include "cornelstall/runtime/connection/peer_server.hpp"
 #include "cornelstall/runtime/process/log_event.hpp"
+#include "cornelstall/runtime/process/member_loop.hpp"
 #include "cornelstall/runtime/process/metrics.hpp"
 #include "cornelstall/runtime/process/task.hpp"
--- a/packages/runtime/include/cornelstall/runtime/connection/grpc_call.hpp
+++ b/packages/runtime/include/cornelstall/runtime/connection/grpc_call.hpp
@@ -16,9 +16,9 @@
 
 /// @brief Starts a gRPC call and suspends the calling task until it has ended; resumes on the task's own executor.
 ///
-/// gRPC's thread only hands the status over. Whatever the call uses must be kept alive by the callback that @a start
-/// passes to gRPC. The executor must outlive the call, so a call needs a deadline or must be cancelled before the
-/// executor ends.
+/// gRPC's thread only hands the status over. The calling task's frame lives until then, because the callback owns it,
+/// so the task may keep the call's context and messages. The executor must outlive the call: run it until its tasks
+/// have ended.
 /// @param start called with the callback that ends the wait
 template <class Start>
 [[nodiscard]] task<grpc::Status> await_call(Start start)
--- a/packages/runtime/src/connection/peer_channel.cpp
+++ b/packages/runtime/src/connection/peer_channel.cpp
@@ -85,7 +85,6 @@
     grpc::ClientContext context_;
     Request request_;
     Reply reply_;
-    std::shared_ptr<detail::channel_state> channel_;
 };
 
 }  // namespace
@@ -113,17 +112,17 @@
 {
     auto pending = std::make_shared<pending_call<Request, Reply>>();
     pending->request_ = std::move(request);
-    pending->channel_ = channel;
     pending->context_.set_deadline(deadline_after(limit));
     pending->context_.AddMetadata(key_metadata, channel->credentials_.key_);
     pending->context_.AddMetadata(sender_metadata, channel->self_.get());
     channel->counters_->count("peer_messages_sent_total");
     channel->counters_->count("peer_bytes_sent_total", {}, pending->request_.ByteSizeLong());
 
+    // This frame keeps the stub. If gRPC's callback kept it, its thread could drop the last reference to a channel and
+    // would then wait for its own end.
     const auto stub = channel->stub_;
-    const auto start = [pending, stub, which, control](const grpc_callback& ended) {
-        (stub->async()->*which)(&pending->context_, &pending->request_, &pending->reply_,
-                                [pending, stub, ended](const grpc::Status& status) { ended(status); });
+    const auto start = [&](const grpc_callback& ended) {
+        (stub->async()->*which)(&pending->context_, &pending->request_, &pending->reply_, ended);
         if (control)
         {
             control->cancel_ = [pending] {
--- a/tests/runtime/peer_channel_test.cpp
+++ b/tests/runtime/peer_channel_test.cpp
@@ -151,6 +151,8 @@
     const auto before = start(pair.io_, channel.probe(probe, 20s));
     REQUIRE(run_until(pair.io_, [&] { return before->value_.has_value(); }));
     forwarder.go_silent();
+    // A call that still waits keeps the silent connection open, as a queued Reserve does.
+    const auto waiting = start(pair.io_, channel.probe(probe, 20s));
     const auto silent = start(pair.io_, channel.probe(probe, 300ms));
     REQUIRE(run_until(pair.io_, [&] { return silent->ended(); }));
     REQUIRE(silent->error_id_ == peer_silent);
@@ -160,6 +162,8 @@
     REQUIRE(run_until(pair.io_, [&] { return after->ended(); }));
     REQUIRE(after->value_.has_value());
     REQUIRE(forwarder.connections() == 2);
+    REQUIRE_FALSE(waiting->value_.has_value());
+    REQUIRE(run_until(pair.io_, [&] { return waiting->ended(); }));
 }
 
 TEST_CASE("a listener that cannot be opened is an error at the start")
