--- a/packages/runtime/include/cornelstall/runtime/connection/peer_channel.hpp
+++ b/packages/runtime/include/cornelstall/runtime/connection/peer_channel.hpp
@@ -41,15 +41,15 @@
     /// @param counters receives `peer_messages_sent_total`, `peer_bytes_sent_total` and `peer_bytes_received_total`
     peer_channel(vm_id self, socket_address address, peer_credentials credentials, metrics& counters);
 
-    [[nodiscard]] task<exchange_delta> exchange(exchange_delta delta, milliseconds limit);
-    [[nodiscard]] task<probe_reply> probe(probe_request request, milliseconds limit);
+    [[nodiscard]] task<exchange_delta> exchange(const exchange_delta& delta, milliseconds limit);
+    [[nodiscard]] task<probe_reply> probe(const probe_request& request, milliseconds limit);
     /// @param control lets the caller leave the queue before @a limit; the peer's handler is told
-    [[nodiscard]] task<reserve_reply> reserve(reserve_request request, milliseconds limit,
+    [[nodiscard]] task<reserve_reply> reserve(const reserve_request& request, milliseconds limit,
                                               std::shared_ptr<call_control> control = nullptr);
-    [[nodiscard]] task<release_reply> release(release_request request, milliseconds limit);
-    [[nodiscard]] task<renew_reply> renew(renew_request request, milliseconds limit);
-    [[nodiscard]] task<wanted_reply> wanted(wanted_request request, milliseconds limit);
-    [[nodiscard]] task<fetch_configuration_reply> fetch_configuration(fetch_configuration_request request,
+    [[nodiscard]] task<release_reply> release(const release_request& request, milliseconds limit);
+    [[nodiscard]] task<renew_reply> renew(const renew_request& request, milliseconds limit);
+    [[nodiscard]] task<wanted_reply> wanted(const wanted_request& request, milliseconds limit);
+    [[nodiscard]] task<fetch_configuration_reply> fetch_configuration(const fetch_configuration_request& request,
                                                                       milliseconds limit);
 
     /// @brief Makes a new connection for all later calls. Calls on the old one end by themselves.
--- a/packages/runtime/src/connection/peer_channel.cpp
+++ b/packages/runtime/src/connection/peer_channel.cpp
@@ -168,44 +168,44 @@
     replace();
 }
 
-task<exchange_delta> peer_channel::exchange(exchange_delta delta, milliseconds limit)
+task<exchange_delta> peer_channel::exchange(const exchange_delta& delta, milliseconds limit)
 {
     return exchange_plain<exchange_delta, peer::ExchangeRequest, peer::ExchangeReply>(state_, &interface::Exchange,
                                                                                       encode_request(delta), limit);
 }
 
-task<probe_reply> peer_channel::probe(probe_request request, milliseconds limit)
+task<probe_reply> peer_channel::probe(const probe_request& request, milliseconds limit)
 {
     return exchange_plain<probe_reply, peer::ProbeRequest, peer::ProbeReply>(state_, &interface::Probe, encode(request),
                                                                              limit);
 }
 
-task<reserve_reply> peer_channel::reserve(reserve_request request, milliseconds limit,
+task<reserve_reply> peer_channel::reserve(const reserve_request& request, milliseconds limit,
                                           std::shared_ptr<call_control> control)
 {
     return exchange_plain<reserve_reply, peer::ReserveRequest, peer::ReserveReply>(
         state_, &interface::Reserve, encode(request), limit, std::move(control));
 }
 
-task<release_reply> peer_channel::release(release_request request, milliseconds limit)
+task<release_reply> peer_channel::release(const release_request& request, milliseconds limit)
 {
     return exchange_plain<release_reply, peer::ReleaseRequest, peer::ReleaseReply>(state_, &interface::Release,
                                                                                    encode(request), limit);
 }
 
-task<renew_reply> peer_channel::renew(renew_request request, milliseconds limit)
+task<renew_reply> peer_channel::renew(const renew_request& request, milliseconds limit)
 {
     return exchange_plain<renew_reply, peer::RenewRequest, peer::RenewReply>(state_, &interface::Renew, encode(request),
                                                                              limit);
 }
 
-task<wanted_reply> peer_channel::wanted(wanted_request request, milliseconds limit)
+task<wanted_reply> peer_channel::wanted(const wanted_request& request, milliseconds limit)
 {
     return exchange_plain<wanted_reply, peer::WantedRequest, peer::WantedReply>(state_, &interface::Wanted,
                                                                                 encode(request), limit);
 }
 
-task<fetch_configuration_reply> peer_channel::fetch_configuration(fetch_configuration_request request,
+task<fetch_configuration_reply> peer_channel::fetch_configuration(const fetch_configuration_request& request,
                                                                   milliseconds limit)
 {
     return exchange_plain<fetch_configuration_reply, peer::FetchConfigurationRequest, peer::FetchConfigurationReply>(
--- a/packages/wire/src/connection/message_checks.cpp
+++ b/packages/wire/src/connection/message_checks.cpp
@@ -13,7 +13,7 @@
 
 socket_address checked_address(const std::string& text, const char* field)
 {
-    const auto address = required_id<socket_address>(text, field);
+    auto address = required_id<socket_address>(text, field);
     const std::size_t colon = text.rfind(':');
     if (colon == std::string::npos || colon == 0)
     {
