--- a/packages/runtime/include/cornelstall/runtime.hpp
+++ b/packages/runtime/include/cornelstall/runtime.hpp
@@ -17,6 +17,7 @@
 #include "cornelstall/runtime/process/entry_process.hpp"
 #include "cornelstall/runtime/process/entry_state.hpp"
 #include "cornelstall/runtime/process/log_event.hpp"
+#include "cornelstall/runtime/process/member_loop.hpp"
 #include "cornelstall/runtime/process/metrics.hpp"
 #include "cornelstall/runtime/process/settings.hpp"
 #include "cornelstall/runtime/process/status.hpp"
--- a/packages/runtime/src/connection/peer_channel.cpp
+++ b/packages/runtime/src/connection/peer_channel.cpp
@@ -85,7 +85,6 @@
     grpc::ClientContext context_;
     Request request_;
     Reply reply_;
-    std::shared_ptr<detail::channel_state> channel_;
 };
 
 }  // namespace
@@ -113,17 +112,17 @@
 {
     auto pending = std::make_shared<pending_call<Request, Reply>>();
     pending->request_ = std::move(request);
-    pending->channel_ = channel;
     pending->context_.set_deadline(deadline_after(limit));
     pending->context_.AddMetadata(key_metadata, channel->credentials_.key_);
     pending->context_.AddMetadata(sender_metadata, channel->self_.get());
     channel->counters_->count("peer_messages_sent_total");
     channel->counters_->count("peer_bytes_sent_total", {}, pending->request_.ByteSizeLong());
 
+    // This frame keeps the stub. If gRPC's callback kept it, its thread could drop the last reference to a channel and
+    // would then wait for its own end.
     const auto stub = channel->stub_;
-    const auto start = [pending, stub, which, control](const grpc_callback& ended) {
-        (stub->async()->*which)(&pending->context_, &pending->request_, &pending->reply_,
-                                [pending, stub, ended](const grpc::Status& status) { ended(status); });
+    const auto start = [&](const grpc_callback& ended) {
+        (stub->async()->*which)(&pending->context_, &pending->request_, &pending->reply_, ended);
         if (control)
         {
             control->cancel_ = [pending] {
@@ -169,44 +168,44 @@
     replace();
 }
 
-task<exchange_delta> peer_channel::exchange(exchange_delta delta, milliseconds limit)
+task<exchange_delta> peer_channel::exchange(const exchange_delta& delta, milliseconds limit)
 {
     return exchange_plain<exchange_delta, peer::ExchangeRequest, peer::ExchangeReply>(state_, &interface::Exchange,
                                                                                       encode_request(delta), limit);
 }
 
-task<probe_reply> peer_channel::probe(probe_request request, milliseconds limit)
+task<probe_reply> peer_channel::probe(const probe_request& request, milliseconds limit)
 {
     return exchange_plain<probe_reply, peer::ProbeRequest, peer::ProbeReply>(state_, &interface::Probe, encode(request),
                                                                              limit);
 }
 
-task<reserve_reply> peer_channel::reserve(reserve_request request, milliseconds limit,
+task<reserve_reply> peer_channel::reserve(const reserve_request& request, milliseconds limit,
                                           std::shared_ptr<call_control> control)
 {
     return exchange_plain<reserve_reply, peer::ReserveRequest, peer::ReserveReply>(
         state_, &interface::Reserve, encode(request), limit, std::move(control));
 }
 
-task<release_reply> peer_channel::release(release_request request, milliseconds limit)
+task<release_reply> peer_channel::release(const release_request& request, milliseconds limit)
 {
     return exchange_plain<release_reply, peer::ReleaseRequest, peer::ReleaseReply>(state_, &interface::Release,
                                                                                    encode(request), limit);
 }
 
-task<renew_reply> peer_channel::renew(renew_request request, milliseconds limit)
+task<renew_reply> peer_channel::renew(const renew_request& request, milliseconds limit)
 {
     return exchange_plain<renew_reply, peer::RenewRequest, peer::RenewReply>(state_, &interface::Renew, encode(request),
                                                                              limit);
 }
 
-task<wanted_reply> peer_channel::wanted(wanted_request request, milliseconds limit)
+task<wanted_reply> peer_channel::wanted(const wanted_request& request, milliseconds limit)
 {
     return exchange_plain<wanted_reply, peer::WantedRequest, peer::WantedReply>(state_, &interface::Wanted,
                                                                                 encode(request), limit);
 }
 
-task<fetch_configuration_reply> peer_channel::fetch_configuration(fetch_configuration_request request,
+task<fetch_configuration_reply> peer_channel::fetch_configuration(const fetch_configuration_request& request,
                                                                   milliseconds limit)
 {
     return exchange_plain<fetch_configuration_reply, peer::FetchConfigurationRequest, peer::FetchConfigurationReply>(
