--- a/packages/decisions/include/cornelstall/decisions/process/claims.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/claims.hpp
@@ -20,6 +20,11 @@
 /// @brief Largest body that an outcome record holds.
 inline constexpr byte_count recorded_body_limit{16'384};
 
+/// @brief Longest idempotency key, in bytes; a longer one is refused.
+inline constexpr std::size_t longest_idempotency_key = 256;
+/// @brief Longest path and query of a non-idempotent call, in bytes; a longer one is refused.
+inline constexpr std::size_t longest_claimed_path = 2048;
+
 /// @brief What identifies a non-idempotent call for its repeats.
 struct claim_key
 {
