Add the keepers of claims and leases, plain calls, the order giver and the reconciler

The decisions about claims, leases, orders and engine memory need tasks that read and append the log and call engines.

Each is one straight coroutine (claims: one that reads, one that appends) over a plain struct whose calls to the rest of the process are function objects. task_clock replaces the machine's clock in tests.

--- a/packages/runtime/include/cornelstall/runtime.hpp
+++ b/packages/runtime/include/cornelstall/runtime.hpp
@@ -5,6 +5,12 @@
 
 #include "cornelstall/runtime/connection/http_call.hpp"
 #include "cornelstall/runtime/connection/log_connection.hpp"
+#include "cornelstall/runtime/process/claim_keeper.hpp"
+#include "cornelstall/runtime/process/lease_keeper.hpp"
 #include "cornelstall/runtime/process/log_event.hpp"
 #include "cornelstall/runtime/process/metrics.hpp"
+#include "cornelstall/runtime/process/order_giver.hpp"
+#include "cornelstall/runtime/process/reconciler.hpp"
 #include "cornelstall/runtime/process/task.hpp"
+#include "cornelstall/runtime/process/task_clock.hpp"
+#include "cornelstall/runtime/request/plain_call.hpp"
