--- a/packages/decisions/include/cornelstall/decisions/process/claims.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/claims.hpp
@@ -136,8 +136,8 @@
     std::deque<claims_entry_position> positions_;
     log_offset next_{1};
     bool started_ = false;
-    bool complete_ = false;         ///< read without a gap from the oldest retained record to the head
-    std::uint64_t generation_ = 0;  ///< number of gaps; a claim appended before a gap cannot be judged after it
+    bool complete_ = false;   ///< read without a gap from the oldest retained record to the head
+    std::uint64_t gaps_ = 0;  ///< times that the log dropped records before they were read
 };
 
 /// @brief Applies one read. A read that starts behind the position of the index because the log dropped records that
@@ -148,19 +148,17 @@
 /// @brief Where a VM's own claim stands.
 enum class claim_standing
 {
-    pending,    ///< not read yet
-    won,        ///< first in offset order of the claims that are not abandoned
-    lost,       ///< an earlier claim or its outcome stands
-    abandoned,  ///< voided by its own `abandoned` record
-    unjudged    ///< records before it were dropped unread; the claimant gives up
+    pending,   ///< not read yet
+    won,       ///< first in offset order of the claims that are not abandoned
+    lost,      ///< an earlier claim or its outcome stands
+    abandoned  ///< voided by its own `abandoned` record
 };
 
 /// @brief Judges @a claim for @a key. Once `won`, a claim stays so until its own claimant abandons it, because later
-/// records can only remove earlier claims.
-/// @param generation value of `claim_index::generation_` before the claim was appended
+/// records can only remove earlier claims. Records that the log dropped before they were read do not change this: a
+/// claim may only be sent in the first half of its retention, so the dropped ones were sent long ago or never will be.
 /// O(log k).
-[[nodiscard]] claim_standing standing_of(const claim_index& index, const claim_key& key, const claim_id& claim,
-                                         std::uint64_t generation);
+[[nodiscard]] claim_standing standing_of(const claim_index& index, const claim_key& key, const claim_id& claim);
 
 /// @brief What a call with a key gets before this VM claims it.
 enum class key_verdict
--- a/packages/decisions/include/cornelstall/decisions/process/lease.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/lease.hpp
@@ -33,7 +33,7 @@
     lease_action action_ = lease_action::acquire;
     vm_id holder_;
     lease_attempt attempt_;  ///< numbers the records of `holder_`
-    log_offset replaces_;    ///< the last accepted record that the writer knows
+    log_offset replaces_;    ///< no record was accepted after this offset, as far as the writer has read
 };
 
 /// @brief A record and its place in the stream.
@@ -59,18 +59,20 @@
     log_offset first_retained_;  ///< oldest offset when reading started; 0: nothing was read
     log_offset next_{1};         ///< where the following read starts
     log_offset last_accepted_;   ///< 0: none known
-    log_offset base_;            ///< `replaces_` of the last accepted record
-    vm_id holder_;               ///< empty when there is none or it released the lease
-    time_point read_at_;         ///< when this VM read the last accepted record, or started to read
+    log_offset last_seen_;       ///< last record of this lease, accepted or not
+    bool anchored_ = false;      ///< it is certain which record was accepted last
+    vm_id holder_;               ///< empty when there is none, it released the lease, or it is not certain
+    time_point read_at_;         ///< when this VM read the last record that may be the holder's, or started to read
     time_point former_ends_;     ///< from here no earlier holder can hold the lease, by this VM's clock
     bool complete_ = false;      ///< read from the oldest retained record to the head without a gap
 };
 
-/// @brief Applies one read. A record is accepted if and only if no other one was accepted after the offset it names
-/// (and, for a renewal or release, its writer holds the lease), so acceptance depends on the log alone.
+/// @brief Applies one read. A record is accepted if and only if no other one was accepted after the offset it names, so
+/// acceptance depends on the log alone. Whether its writer is the holder is not asked.
 ///
-/// A reader that starts after the log has dropped records takes the first record on trust, and takes another one
-/// instead that names a later dropped record. A gap in reading starts the view again.
+/// A reader that starts after the log has dropped records cannot tell whether the first ones that it reads were
+/// accepted. It is certain from the first record that names the one just before it, as renewals do: that record is
+/// accepted whatever came before. A gap in reading starts the view again.
 /// @param now when the read returned
 /// @return the accepted records in order
 /// Linear in the records.
--- a/packages/decisions/src/process/claims.cpp
+++ b/packages/decisions/src/process/claims.cpp
@@ -113,7 +113,7 @@
 {
     if (index.started_ && batch.oldest_ > index.next_)
     {
-        ++index.generation_;
+        ++index.gaps_;
         index.complete_ = false;
     }
     index.started_ = true;
@@ -131,17 +131,12 @@
     forget_before(index, batch.oldest_);
 }
 
-claim_standing standing_of(const claim_index& index, const claim_key& key, const claim_id& claim,
-                           std::uint64_t generation)
+claim_standing standing_of(const claim_index& index, const claim_key& key, const claim_id& claim)
 {
     if (index.abandoned_.contains(claim))
     {
         return claim_standing::abandoned;
     }
-    if (index.generation_ != generation)
-    {
-        return claim_standing::unjudged;
-    }
     if (!index.key_of_claim_.contains(claim))
     {
         return claim_standing::pending;
--- a/packages/decisions/src/process/lease.cpp
+++ b/packages/decisions/src/process/lease.cpp
@@ -8,39 +8,22 @@
 namespace
 {
 
-bool is_released(const lease_view& view)
-{
-    return view.last_accepted_ != log_offset{} && view.holder_.empty();
-}
-
-bool was_never_held(const lease_view& view)
-{
-    return view.last_accepted_ == log_offset{} && view.first_retained_ == log_offset{1};
-}
-
 /// When the lease of the last known holder is over for certain.
 time_point present_ends(const lease_view& view)
 {
-    return is_released(view) || was_never_held(view) ? view.read_at_ : view.read_at_ + lease_duration + lease_margin;
+    // Without a holder, the lease was released or never held.
+    const bool free = view.anchored_ && view.holder_.empty();
+    return free ? view.read_at_ : view.read_at_ + lease_duration + lease_margin;
 }
 
-bool names_later_dropped_record(const lease_view& view, log_offset replaces)
+bool is_accepted(const lease_view& view, const lease_record& record)
 {
-    return view.base_ < replaces && replaces < view.first_retained_;
-}
-
-bool is_accepted(const lease_view& view, log_offset offset, const lease_record& record)
-{
-    if (record.data_centre_ != view.data_centre_ || record.replaces_ >= offset)
+    if (view.anchored_)
     {
-        return false;
+        return record.replaces_ >= view.last_accepted_;
     }
-    if (view.last_accepted_ == log_offset{} || names_later_dropped_record(view, record.replaces_))
-    {
-        return true;
-    }
-    return record.replaces_ >= view.last_accepted_ &&
-           (record.action_ == lease_action::acquire || record.holder_ == view.holder_);
+    // Nothing lies between this record and what it names, so it is accepted whatever was accepted before.
+    return record.replaces_ >= view.last_seen_ && record.replaces_.next() >= view.first_retained_;
 }
 
 void accept(lease_view& view, log_offset offset, const lease_record& record, time_point now)
@@ -49,18 +32,36 @@
     {
         view.former_ends_ = std::max(view.former_ends_, present_ends(view));
     }
+    view.anchored_ = true;
     view.last_accepted_ = offset;
-    view.base_ = record.replaces_;
     view.holder_ = record.action_ == lease_action::release ? vm_id{} : record.holder_;
     view.read_at_ = now;
 }
 
+/// Applies one record of this lease; true when it is accepted.
+bool apply_record(lease_view& view, log_offset offset, const lease_record& record, time_point now)
+{
+    const bool accepted = record.replaces_ < offset && is_accepted(view, record);
+    view.last_seen_ = offset;
+    if (accepted)
+    {
+        accept(view, offset, record, now);
+    }
+    else if (!view.anchored_)
+    {
+        // It may have been accepted, so its writer may hold the lease.
+        view.read_at_ = now;
+    }
+    return accepted;
+}
+
 void start_reading(lease_view& view, log_offset oldest, time_point now)
 {
     lease_view fresh;
     fresh.data_centre_ = view.data_centre_;
     fresh.first_retained_ = oldest;
     fresh.next_ = oldest;
+    fresh.anchored_ = oldest == log_offset{1};
     fresh.read_at_ = now;
     fresh.former_ends_ = now;
     view = std::move(fresh);
@@ -76,10 +77,11 @@
     }
     std::vector<lease_record> accepted;
     std::ranges::for_each(batch.records_, [&](const positioned_lease_record& positioned) {
-        if (positioned.offset_ >= view.next_ && is_accepted(view, positioned.offset_, positioned.record_))
+        const lease_record& record = positioned.record_;
+        if (positioned.offset_ >= view.next_ && record.data_centre_ == view.data_centre_ &&
+            apply_record(view, positioned.offset_, record, now))
         {
-            accept(view, positioned.offset_, positioned.record_, now);
-            accepted.push_back(positioned.record_);
+            accepted.push_back(record);
         }
     });
     view.next_ = std::max(view.next_, batch.next_);
@@ -96,8 +98,8 @@
     std::erase_if(claimant.open_,
                   [&](const open_lease_attempt& open) { return open.started_ + lease_duration <= now; });
     claimant.open_.push_back({claimant.last_attempt_, now});
-    // Without a known record, everything that was read is replaced: nothing in it was accepted.
-    const log_offset replaces = view.last_accepted_ == log_offset{} ? view.next_ - log_offset{1} : view.last_accepted_;
+    // A VM that does not know which record was accepted last replaces all that it has read.
+    const log_offset replaces = view.anchored_ ? view.last_accepted_ : view.next_ - log_offset{1};
     return {view.data_centre_, action, claimant.self_, claimant.last_attempt_, replaces};
 }
 
--- a/packages/runtime/src/process/claim_keeper.cpp
+++ b/packages/runtime/src/process/claim_keeper.cpp
@@ -45,10 +45,10 @@
 
 void apply_page(claim_keeper& keeper, const log_page& page)
 {
-    const auto generation = keeper.index_.generation_;
+    const auto gaps = keeper.index_.gaps_;
     apply(keeper.index_, to_batch(page, keeper));
     keeper.retention_ = page.retention_;
-    if (keeper.index_.generation_ != generation)
+    if (keeper.index_.gaps_ != gaps)
     {
         log_event(severity::warning, claims_gap, "claims were dropped by the log before this VM read them",
                   {{"oldest", std::to_string(page.oldest_.get())}});
@@ -161,14 +161,13 @@
 }
 
 /// Waits until the claim is judged, cannot be appended, or can no longer be sent.
-task<claim_standing> wait_for_standing(shared_keeper keeper, held_claim held, std::uint64_t generation,
-                                       std::shared_ptr<claim_append> state)
+task<claim_standing> wait_for_standing(shared_keeper keeper, held_claim held, std::shared_ptr<claim_append> state)
 {
     auto standing = claim_standing::pending;
     while (standing == claim_standing::pending && *state != claim_append::refused && may_send_now(*keeper, held))
     {
         co_await keeper->index_changed_.wait_until(keeper->clock_, held.started_ + held.duration_ - claim_margin);
-        standing = standing_of(keeper->index_, held.key_, held.id_, generation);
+        standing = standing_of(keeper->index_, held.key_, held.id_);
     }
     co_return standing;
 }
@@ -264,11 +263,10 @@
     }
     held.id_ = new_claim_id(*keeper);
     held.duration_ = claim_duration(remaining_until(deadline, now), keeper->retention_);
-    const auto generation = keeper->index_.generation_;
     const auto state = std::make_shared<claim_append>(claim_append::queued);
     enqueue(*keeper, {encode(claim_record{held.id_, keeper->self_, held.key_, held.call_}), held.id_, state,
                       std::make_shared<bool>(false)});
-    const auto standing = co_await wait_for_standing(keeper, held, generation, state);
+    const auto standing = co_await wait_for_standing(keeper, held, state);
     if (standing == claim_standing::won && may_send_now(*keeper, held))
     {
         held.status_ = claim_status::won;
