--- a/packages/runtime/include/cornelstall/runtime/process/entry_state.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/entry_state.hpp
@@ -4,13 +4,16 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "cornelstall/decisions.hpp"
+#include "cornelstall/runtime/process/claim_keeper.hpp"
 #include "cornelstall/runtime/process/engine_owner.hpp"
+#include "cornelstall/runtime/process/member_loop.hpp"
 #include "cornelstall/runtime/process/metrics.hpp"
 #include "cornelstall/runtime/process/settings.hpp"
 #include "cornelstall/runtime/process/task.hpp"
@@ -48,6 +51,7 @@
     attempt_number attempt_{1};
     engine_id engine_;
     grant_id grant_;
+    queue_entry entry_;  ///< announced to a new owner
 };
 
 /// @brief Why a request was refused or failed, kept for `cornelctl explain`.
@@ -69,7 +73,8 @@
     executor executor_;
     vm_id self_;
     metrics metrics_;
-    membership_table membership_;
+    member_loop_ptr loop_;    ///< null until peers are connected; then the loop's view holds the members
+    membership_table alone_;  ///< the members while there is no loop: this VM only
     std::map<engine_id, engine_state> engines_;  ///< engines of the own data centre
     std::set<engine_id> watched_;                ///< engines with a polling task
     std::vector<listed_vm> plain_servers_;
@@ -78,9 +83,16 @@
     std::shared_ptr<const version_state> version_;
     retry_budget retries_;
     std::map<request_id, running_request> running_;
-    int open_requests_ = 0;  ///< caller requests of any kind that have not ended
+    std::map<request_id, std::shared_ptr<call_control>> waiting_calls_;  ///< `Reserve` calls that wait at other owners
+    std::map<grant_id, vm_id> granted_by_;    ///< owner of each grant that has not been released
+    std::map<model_id, token_count> asked_;   ///< prompt tokens asked for since the last demand sample
+    std::set<engine_id> drained_for_orders_;  ///< engines that get no new work before an order changes them
+    std::shared_ptr<claim_keeper> claims_;    ///< null when there is no log
+    std::set<server_id> draining_servers_;    ///< plain servers that answered that they drain
+    int open_requests_ = 0;                   ///< caller requests of any kind that have not ended
     std::uint64_t next_request_ = 1;
     std::deque<explained_request> explanations_;
+    std::mt19937_64 random_{std::random_device{}()};
     bool stopping_ = false;  ///< not ready, still accepting
     bool closed_ = false;    ///< refuses new requests
 };
@@ -94,6 +106,21 @@
 /// @brief Access to owners when this VM owns every engine.
 [[nodiscard]] owner_access make_local_access(entry_state& state);
 
+/// @brief The members that this VM knows.
+[[nodiscard]] const membership_table& members_of(const entry_state& state);
+
+/// @brief Live members of the own data centre that own engines: those that are not leaving.
+[[nodiscard]] std::vector<member> owner_candidates(const entry_state& state);
+
+/// @brief All engines of the own data centre: owned ones as polled, others as their owners summarize them.
+[[nodiscard]] std::vector<const engine_state*> known_engines(const entry_state& state);
+
+/// @brief What the owner of @a engine tells about it; null when nothing is known yet.
+[[nodiscard]] const engine_state* summary_of(const entry_state& state, const engine_id& engine);
+
+/// @brief The state of one engine that placement uses, for noting what was sent to it; null when it is not known.
+[[nodiscard]] engine_state* find_engine(entry_state& state, const engine_id& engine);
+
 /// @brief True when this VM owns @a engine by the members it knows.
 [[nodiscard]] bool owns(const entry_state& state, const engine_id& engine);
 
--- a/packages/runtime/src/process/engine_watch.cpp
+++ b/packages/runtime/src/process/engine_watch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cornelstall/runtime/connection/http_call.hpp"
+#include "cornelstall/runtime/process/engine_memory.hpp"
 
 namespace cornelstall
 {
@@ -177,9 +178,26 @@
 
 }  // namespace
 
+namespace
+{
+
+/// Tells the other members of the data centre what this VM knows about an engine that it owns.
+void publish_summary(entry_state& state, const engine_state& engine)
+{
+    if (state.loop_)
+    {
+        auto& view = state.loop_->view_;
+        publish(view.engines_, view.members_, engine, clock::now());
+    }
+}
+
+}  // namespace
+
 task<> watch_engine(entry_state& state, engine_id engine)
 {
     watch_cursor cursor;
+    const auto memory = make_engine_reconciler(state, engine);
+    spawn(state.executor_, "reconcile_engine", reconcile_engine(memory));
     while (still_owned(state, engine))
     {
         const auto now = clock::now();
@@ -196,9 +214,11 @@
         if (const auto found = state.engines_.find(engine); found != state.engines_.end())
         {
             pump(state.owner_, found->second, state.metrics_);
+            publish_summary(state, found->second);
         }
         co_await sleep_for(queue_check_interval);
     }
+    memory->stopping_ = true;
     evict(state.owner_, engine, refusal_reason::no_engine_ready, "the engine has another owner now");
     state.owner_.engines_.erase(engine);
     state.watched_.erase(engine);
@@ -221,6 +241,36 @@
     }
 }
 
+namespace
+{
+
+/// A server that answered that it drains stays out until the VM list has dropped it; a restarted one has another id.
+void forget_recovered_servers(entry_state& state)
+{
+    std::erase_if(state.draining_servers_, [&state](const server_id& server) {
+        return std::ranges::none_of(state.plain_servers_,
+                                    [&server](const listed_vm& vm) { return vm.id_ == server.get(); });
+    });
+}
+
+void use_seeds(entry_state& state, const vm_list& list)
+{
+    if (!state.loop_)
+    {
+        return;
+    }
+    std::vector<peer_seed> seeds;
+    std::ranges::for_each(list.vms_, [&seeds](const listed_vm& vm) {
+        if (vm.role_ == vm_role::entry && !vm.leaving_)
+        {
+            seeds.push_back({vm.peer_address_, vm.data_centre_});
+        }
+    });
+    set_seeds(*state.loop_, std::move(seeds));
+}
+
+}  // namespace
+
 void apply_vm_list(entry_state& state, const vm_list& list)
 {
     std::set<engine_id> listed;
@@ -252,6 +302,8 @@
         }
     });
     std::erase_if(state.engines_, [&listed](const auto& entry) { return !listed.contains(entry.first); });
+    forget_recovered_servers(state);
+    use_seeds(state, list);
     watch_owned_engines(state);
 }
 
--- a/packages/runtime/src/process/entry_state.cpp
+++ b/packages/runtime/src/process/entry_state.cpp
@@ -45,7 +45,7 @@
     : settings_(std::move(values)),
       executor_(where),
       self_(make_vm_id(settings_.name_)),
-      membership_(make_membership(self_of(settings_, self_), std::chrono::steady_clock::now())),
+      alone_(make_membership(self_of(settings_, self_), std::chrono::steady_clock::now())),
       access_(make_local_access(*this))
 {}
 
@@ -94,11 +94,66 @@
     return access;
 }
 
-bool owns(const entry_state& state, const engine_id& engine)
+const engine_state* summary_of(const entry_state& state, const engine_id& engine)
+{
+    if (!state.loop_)
+    {
+        return nullptr;
+    }
+    const auto found = state.loop_->view_.engines_.find(engine);
+    return found == state.loop_->view_.engines_.end() ? nullptr : &found->second.summary_.state_;
+}
+
+const membership_table& members_of(const entry_state& state)
 {
-    auto candidates = live_members(state.membership_, state.settings_.data_centre_);
+    return state.loop_ ? state.loop_->view_.members_ : state.alone_;
+}
+
+std::vector<member> owner_candidates(const entry_state& state)
+{
+    auto candidates = live_members(members_of(state), state.settings_.data_centre_);
     std::erase_if(candidates, [](const member& candidate) { return candidate.state_ == member_state::leaving; });
-    return owner_of(engine.get(), candidates) == state.self_;
+    return candidates;
+}
+
+std::vector<const engine_state*> known_engines(const entry_state& state)
+{
+    std::vector<const engine_state*> engines;
+    for (const auto& [id, engine] : state.engines_)
+    {
+        if (state.drained_for_orders_.contains(id))
+        {
+            continue;
+        }
+        if (state.watched_.contains(id))
+        {
+            engines.push_back(&engine);
+            continue;
+        }
+        // The VM list may know of a drain before the owner's summary tells it.
+        const auto* const summary = summary_of(state, id);
+        if (summary != nullptr && engine.condition_ != engine_condition::draining)
+        {
+            engines.push_back(summary);
+        }
+    }
+    return engines;
+}
+
+engine_state* find_engine(entry_state& state, const engine_id& engine)
+{
+    if (!state.watched_.contains(engine) && state.loop_)
+    {
+        const auto found = state.loop_->view_.engines_.find(engine);
+        return found == state.loop_->view_.engines_.end() ? nullptr : &found->second.summary_.state_;
+    }
+    const auto found = state.engines_.find(engine);
+    return found == state.engines_.end() ? nullptr : &found->second;
+}
+
+bool owns(const entry_state& state, const engine_id& engine)
+{
+    return owner_of(engine.get(), owner_candidates(state)) == state.self_;
 }
 
 }  // namespace cornelstall
--- a/packages/runtime/src/process/status.cpp
+++ b/packages/runtime/src/process/status.cpp
@@ -42,10 +42,10 @@
     return "unreachable";
 }
 
-json members_of(const entry_state& state)
+json describe_members(const entry_state& state)
 {
     json members = json::array();
-    std::ranges::transform(state.membership_.members_, std::back_inserter(members), [](const auto& entry) {
+    std::ranges::transform(members_of(state).members_, std::back_inserter(members), [](const auto& entry) {
         const auto& known = entry.second.member_;
         return json{{"id", known.id_.get()},
                     {"address", known.peer_address_.get()},
@@ -90,7 +90,7 @@
                 {"configuration_version", state.version_ ? state.version_->configuration_->version_.get() : 0},
                 {"stopping", state.stopping_},
                 {"open_requests", state.open_requests_},
-                {"members", members_of(state)}};
+                {"members", describe_members(state)}};
     json services = json::array();
     if (state.version_)
     {
@@ -99,8 +99,8 @@
     }
     status["services"] = std::move(services);
     json engines = json::array();
-    std::ranges::transform(state.engines_, std::back_inserter(engines),
-                           [&state](const auto& entry) { return engine_of(state, entry.second); });
+    std::ranges::transform(known_engines(state), std::back_inserter(engines),
+                           [&state](const engine_state* engine) { return engine_of(state, *engine); });
     status["engines"] = std::move(engines);
     return status.dump();
 }
--- a/packages/runtime/src/request/serve_completion.cpp
+++ b/packages/runtime/src/request/serve_completion.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds cancel_limit{30'000};
 /// Time that another attempt needs at the least to be of use.
 constexpr milliseconds least_useful_time{100};
+constexpr milliseconds replacement_pause{50};
 
 placement_request placement_of(const model_request& request)
 {
@@ -111,11 +112,15 @@
     const auto address = placed.engine_->address_;
     auto entry = entry_of(state, request, placed);
     const auto sent = entry.uncached_;
-    state.running_[request.id_] = {request.progress_.attempt_, engine, {}};
+    auto& running = state.running_[request.id_];
+    running.attempt_ = request.progress_.attempt_;
+    running.engine_ = engine;
+    running.entry_ = entry;
+    state.asked_[request.call_.model_] += sent;
     const auto answer = co_await state.access_.reserve_(engine, std::move(entry));
-    state.running_.erase(request.id_);
     if (const auto* const refusal = std::get_if<queue_refusal>(&answer))
     {
+        state.running_.erase(request.id_);
         request.excluded_.insert(engine);
         const bool elsewhere = refusal->reason_ == refusal_reason::no_engine_ready;
         if (!elsewhere || clock::now() >= request.deadline_)
@@ -125,12 +130,12 @@
         co_return std::nullopt;
     }
     const auto& given = std::get<grant>(answer);
-    if (const auto found = state.engines_.find(engine); found != state.engines_.end())
+    if (auto* const used = find_engine(state, engine); used != nullptr)
     {
-        found->second.sent_since_report_ += sent;
-        ++found->second.started_since_report_;
+        used->sent_since_report_ += sent;
+        ++used->started_since_report_;
     }
-    state.running_[request.id_] = {request.progress_.attempt_, engine, given.id_};
+    state.running_[request.id_].grant_ = given.id_;
     const auto result = co_await run_attempt(state, request, connection, given, address);
     state.running_.erase(request.id_);
     if (result.end_ == attempt_end::finished || result.end_ == attempt_end::refused)
@@ -179,6 +184,8 @@
         const auto result = co_await try_once(state, request, connection);
         if (!result)
         {
+            // The refusing engine is excluded; when it was the last one, it may recover meanwhile.
+            co_await sleep_for(replacement_pause);
             continue;
         }
         switch (result->end_)
--- a/packages/wire/include/cornelstall/wire/connection/engine_messages.hpp
+++ b/packages/wire/include/cornelstall/wire/connection/engine_messages.hpp
@@ -78,4 +78,8 @@
 /// @throws connection_error (id 244)
 [[nodiscard]] cache_list decode_cache_list(std::string_view body);
 
+/// @brief Decodes an engine's list of what it holds.
+/// @throws connection_error (id 246)
+[[nodiscard]] std::vector<holding> decode_holdings(std::string_view body);
+
 }  // namespace cornelstall
--- a/packages/wire/src/connection/engine_messages.cpp
+++ b/packages/wire/src/connection/engine_messages.cpp
@@ -18,6 +18,7 @@
 constexpr int event_malformed = 242;
 constexpr int load_malformed = 243;
 constexpr int cache_malformed = 244;
+constexpr int holdings_malformed = 246;
 
 /// Runs @a decode and turns JSON errors into a connection error.
 template <class Decode>
@@ -106,6 +107,21 @@
             token_count{value.value("tokens", std::int64_t{0})}};
 }
 
+void append_holdings(std::vector<holding>& holdings, const json& list, holding_kind kind, const char* id,
+                     const char* tokens)
+{
+    std::ranges::transform(list, std::back_inserter(holdings), [&](const json& value) {
+        holding entry;
+        entry.key_ = {kind, value.at(id).get<std::string>()};
+        entry.request_ = request_id{value.at("request_id").get<std::string>()};
+        entry.attempt_ = attempt_number{value.value("attempt", std::uint32_t{0})};
+        entry.holder_ = vm_id{value.value("holder", std::string{})};
+        entry.tokens_ = token_count{value.value(tokens, std::int64_t{0})};
+        entry.age_ = milliseconds{value.value("age_ms", std::int64_t{0})};
+        return entry;
+    });
+}
+
 }  // namespace
 
 std::vector<std::string> split_events(event_splitter& splitter, std::string_view bytes)
@@ -224,4 +240,15 @@
     });
 }
 
+std::vector<holding> decode_holdings(std::string_view body)
+{
+    return decoded(holdings_malformed, "list of holdings", body, [](const json& value) {
+        std::vector<holding> holdings;
+        append_holdings(holdings, value.at("requests"), holding_kind::request, "request_id", "kv_tokens");
+        append_holdings(holdings, value.at("reservations"), holding_kind::reservation, "reservation_id", "tokens");
+        append_holdings(holdings, value.at("exports"), holding_kind::kv_export, "export_id", "tokens");
+        return holdings;
+    });
+}
+
 }  // namespace cornelstall
