--- a/packages/decisions/include/cornelstall/decisions/version/ordering.hpp
+++ b/packages/decisions/include/cornelstall/decisions/version/ordering.hpp
@@ -113,14 +113,18 @@
 /// @note Declarations that are the same as in force are not parsed again.
 bool adopt(configuration_state& state, const whole_state& offered, const parse_function& parse);
 
-/// @brief Parts of the snapshot that is being read.
+/// @brief Members may append snapshots at the same time; more than this are not collected at once.
+inline constexpr std::size_t max_open_snapshots = 4;
+
+/// @brief Snapshots whose parts are not all read yet, by their id.
 struct snapshot_assembly
 {
-    std::map<std::uint32_t, snapshot_record> parts_;
+    std::map<std::string, std::map<std::uint32_t, snapshot_record>> snapshots_;
 };
 
-/// @brief Adds @a record; a part that does not belong to the parts collected so far discards them.
-/// @return the whole state once all parts are there
+/// @brief Adds @a record. A part that contradicts the parts of its snapshot discards them; a snapshot too many discards
+/// the one that is furthest behind.
+/// @return the whole state once all parts are there; older snapshots are then discarded
 [[nodiscard]] std::optional<whole_state> assemble(snapshot_assembly& assembly, const snapshot_record& record);
 
 /// @brief Cuts @a state into snapshot records of about @a max_size each, but for a single declaration that is larger.
--- a/packages/decisions/src/version/ordering.cpp
+++ b/packages/decisions/src/version/ordering.cpp
@@ -76,6 +76,11 @@
            part.read_through_ == other.read_through_ && part.parts_ == other.parts_;
 }
 
+log_offset read_through(const std::map<std::uint32_t, snapshot_record>& parts)
+{
+    return parts.empty() ? log_offset{0} : parts.begin()->second.read_through_;
+}
+
 bool is_in_force(const configuration& in_force, const declaration& offered)
 {
     const auto found = in_force.declarations_.find(offered.service_);
@@ -157,21 +162,27 @@
 
 std::optional<whole_state> assemble(snapshot_assembly& assembly, const snapshot_record& record)
 {
-    if (!assembly.parts_.empty() && !belongs_to(assembly.parts_.begin()->second, record))
+    auto& open = assembly.snapshots_;
+    if (!open.contains(record.snapshot_) && open.size() == max_open_snapshots)
+    {
+        open.erase(std::ranges::min_element(open, {}, [](const auto& entry) { return read_through(entry.second); }));
+    }
+    auto& parts = open[record.snapshot_];
+    if (!parts.empty() && !belongs_to(parts.begin()->second, record))
     {
-        assembly.parts_.clear();
+        parts.clear();
     }
-    assembly.parts_.insert_or_assign(record.part_, record);
-    if (assembly.parts_.size() < record.parts_)
+    parts.insert_or_assign(record.part_, record);
+    if (parts.size() < record.parts_)
     {
         return std::nullopt;
     }
     whole_state whole{record.version_, record.read_through_, {}};
-    for (auto& [number, part] : assembly.parts_)
+    for (auto& [number, part] : parts)
     {
         std::ranges::move(part.declarations_, std::back_inserter(whole.declarations_));
     }
-    assembly.parts_.clear();
+    std::erase_if(open, [&](const auto& entry) { return read_through(entry.second) <= whole.read_through_; });
     return whole;
 }
 
