--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -21,4 +21,5 @@
 #include "cornelstall/decisions/request/tokens.hpp"
 #include "cornelstall/decisions/version/configuration.hpp"
 #include "cornelstall/decisions/version/ordering.hpp"
+#include "cornelstall/decisions/version/replay.hpp"
 #include "cornelstall/decisions/version/validation.hpp"
--- a/packages/decisions/include/cornelstall/decisions/version/ordering.hpp
+++ b/packages/decisions/include/cornelstall/decisions/version/ordering.hpp
@@ -95,7 +95,8 @@
 
 /// @brief Applies the change at @a offset. Acceptance depends on the bases only, thus on the stream's prefix, so that
 /// all VMs agree even when their releases differ in what they can read.
-/// @note Parses the changed declarations only; copies the policies of the others: linear in the number of services.
+/// @note Parses the changed declarations only. Copies the policies of the others, linear in the number of services, if
+/// anything else holds the configuration in force; otherwise the cost is that of the parsing.
 change_result apply_change(configuration_state& state, log_offset offset, const change_record& record,
                            const parse_function& parse);
 
--- a/packages/decisions/src/version/ordering.cpp
+++ b/packages/decisions/src/version/ordering.cpp
@@ -81,6 +81,17 @@
     return parts.empty() ? log_offset{0} : parts.begin()->second.read_through_;
 }
 
+/// The configuration to write the next version into: a copy, or the one in force itself when nothing else holds it.
+/// A reader that catches up passes thousands of versions that nobody sees, and copying each costs milliseconds.
+std::shared_ptr<configuration> writable(configuration_state& state)
+{
+    if (state.in_force_.use_count() == 1)
+    {
+        return std::const_pointer_cast<configuration>(state.in_force_);
+    }
+    return std::make_shared<configuration>(*state.in_force_);
+}
+
 bool is_in_force(const configuration& in_force, const declaration& offered)
 {
     const auto found = in_force.declarations_.find(offered.service_);
@@ -114,12 +125,12 @@
     {
         return {change_verdict::lost, lost_to};
     }
-    auto next = std::make_shared<configuration>(in_force);
+    const auto next = writable(state);
     next->version_ = configuration_version{offset.get()};
     std::ranges::for_each(record.changes_, [&](const declaration_change& change) {
         put_into_force(*next, state.unreadable_, {change.service_, change.text_, offset}, parse);
     });
-    state.in_force_ = std::move(next);
+    state.in_force_ = next;
     return {change_verdict::accepted, {}};
 }
 
@@ -135,6 +146,7 @@
     {
         return false;
     }
+    // The declarations before are still compared while the new ones are written, so this always copies.
     auto next = std::make_shared<configuration>(in_force);
     next->version_ = offered.version_;
     std::set<service_id> offered_services;
--- /dev/null
+++ b/packages/decisions/src/version/replay.cpp
@@ -0,0 +1,111 @@
+#include "cornelstall/decisions/version/replay.hpp"
+
+#include <algorithm>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+// A snapshot read when it was new is replaced within these shares of the retention: before half of it has passed, with
+// time to repeat a failed append.
+constexpr double earliest_share = 0.3;
+constexpr double latest_share = 0.4;
+// One of unknown age may be near the end of its retention, so it is replaced soon.
+constexpr double unknown_age_share = 0.02;
+
+log_offset offset_after(log_offset offset)
+{
+    return offset.next();
+}
+
+void apply_in_order(configuration_replay& replay, const configuration_entry& entry, const parse_function& parse)
+{
+    auto& state = replay.state_;
+    if (const auto* const change = std::get_if<change_record>(&entry.record_); change != nullptr)
+    {
+        const auto result = apply_change(state, entry.offset_, *change, parse);
+        replay.lost_changes_ += result.verdict_ == change_verdict::lost ? 1 : 0;
+        return;
+    }
+    if (entry.offset_ <= state.read_through_)
+    {
+        return;
+    }
+    state.read_through_ = entry.offset_;
+    if (const auto* const part = std::get_if<snapshot_record>(&entry.record_); part != nullptr)
+    {
+        // The reader knows all of it already; only its age matters.
+        if (assemble(replay.assembly_, *part))
+        {
+            replay.newest_snapshot_ = entry.offset_;
+        }
+        return;
+    }
+    ++replay.malformed_;
+}
+
+/// Returns true when the entry completed a snapshot that bridges the gap.
+bool search_in(configuration_replay& replay, const configuration_entry& entry, log_offset oldest,
+               const parse_function& parse)
+{
+    replay.search_from_ = offset_after(entry.offset_);
+    const auto* const part = std::get_if<snapshot_record>(&entry.record_);
+    const auto whole = part == nullptr ? std::nullopt : assemble(replay.assembly_, *part);
+    if (!whole)
+    {
+        return false;
+    }
+    adopt(replay.state_, *whole, parse);
+    replay.newest_snapshot_ = entry.offset_;
+    return can_read_on(replay.state_, oldest);
+}
+
+}  // namespace
+
+log_offset next_read(const configuration_replay& replay)
+{
+    return replay.search_from_ > log_offset{0} ? replay.search_from_ : offset_after(replay.state_.read_through_);
+}
+
+bool is_caught_up(const configuration_replay& replay, log_offset head)
+{
+    return replay.search_from_ == log_offset{0} && head <= offset_after(replay.state_.read_through_);
+}
+
+void apply_page(configuration_replay& replay, std::span<const configuration_entry> entries, log_offset oldest,
+                const parse_function& parse)
+{
+    const bool was_searching = replay.search_from_ > log_offset{0};
+    if (can_read_on(replay.state_, oldest))
+    {
+        replay.search_from_ = log_offset{0};
+        if (was_searching)
+        {
+            // A peer's state has bridged the gap; this page was read from another place.
+            return;
+        }
+        std::ranges::for_each(entries, [&](const configuration_entry& entry) { apply_in_order(replay, entry, parse); });
+        return;
+    }
+    if (!was_searching)
+    {
+        ++replay.records_missed_;
+        replay.search_from_ = oldest;
+    }
+    if (std::ranges::any_of(entries,
+                            [&](const configuration_entry& entry) { return search_in(replay, entry, oldest, parse); }))
+    {
+        replay.search_from_ = log_offset{0};
+    }
+}
+
+time_point snapshot_due(time_point seen, milliseconds retention, bool age_known, double spread)
+{
+    const double share =
+        age_known ? earliest_share + (latest_share - earliest_share) * spread : unknown_age_share * spread;
+    return seen + milliseconds{static_cast<milliseconds::rep>(static_cast<double>(retention.count()) * share)};
+}
+
+}  // namespace cornelstall
