--- a/packages/runtime/include/cornelstall/runtime.hpp
+++ b/packages/runtime/include/cornelstall/runtime.hpp
@@ -23,3 +23,6 @@
 #include "cornelstall/runtime/process/task.hpp"
 #include "cornelstall/runtime/request/attempt.hpp"
 #include "cornelstall/runtime/request/model_request.hpp"
+#include "cornelstall/runtime/version/configuration_follower.hpp"
+#include "cornelstall/runtime/version/configuration_log.hpp"
+#include "cornelstall/runtime/version/publish.hpp"
