--- a/packages/decisions/include/cornelstall/decisions/process/engine_queue.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/engine_queue.hpp
@@ -54,6 +54,16 @@
     std::deque<queue_entry> waiting_;
 };
 
+/// @brief Room kept for a segment of a split prompt between two tries of its holder. Without it a prompt that needs
+/// much free memory on several engines at once would never find it on a busy engine.
+struct segment_hold
+{
+    request_id request_;
+    token_count memory_;
+    time_point until_;
+    bool granted_ = false;  ///< the segment has its room; the hold revives when it is given back unused
+};
+
 /// @brief Queue of one rank.
 struct rank_queue
 {
@@ -61,6 +71,7 @@
     double floor_ = 0.0;         ///< declared share of granted tokens
     double floor_credit_ = 0.0;  ///< tokens owed to the floor
     std::map<caller_id, caller_share> callers_;
+    std::optional<segment_hold> segment_hold_;
 };
 
 /// @brief Bounds of an engine's queue.
@@ -120,8 +131,9 @@
 /// `no_wait_`), `time_limit_unreachable`, `caller_queue_full`, `queue_full`. A quarter of the queue is kept for each
 /// other rank, and a caller may wait with no more requests than places are left to its rank, so that neither a rank nor
 /// a caller can shut out another.
-/// A `no_wait_` entry that is accepted is granted by the next call of `grant_next`.
-/// Linear in the waiting requests and the grants.
+/// A `no_wait_` entry that is accepted is granted by the next call of `grant_next`. One that is refused for lack of
+/// room keeps its place until its next try (`segment_hold`), unless its caller has had more than its share. Linear in
+/// the waiting requests and the grants.
 [[nodiscard]] std::optional<queue_refusal> enqueue(engine_queue& queue, const engine_state& engine, queue_entry entry,
                                                    time_point now);
 
@@ -149,7 +161,8 @@
 /// Linear in the waiting requests.
 bool withdraw(engine_queue& queue, const request_id& request, attempt_number attempt);
 
-/// @brief Notes that the first part of a granted request was seen: its prefill is over. Logarithmic in the grants.
+/// @brief Notes that the first part of a granted request was seen, or that a segment was prefilled: the prefill is
+/// over. Logarithmic in the grants.
 void note_first_part(engine_queue& queue, const grant_id& id);
 
 /// @brief Ends a grant and returns what was not used to the caller's share.
--- a/packages/decisions/src/process/engine_queue.cpp
+++ b/packages/decisions/src/process/engine_queue.cpp
@@ -101,11 +101,13 @@
     return std::nullopt;
 }
 
-std::optional<queue_refusal> refuse_without_wait(const engine_queue& queue, const engine_state& engine,
+std::optional<queue_refusal> refuse_without_wait(engine_queue& queue, const engine_state& engine,
                                                  const queue_entry& entry, time_point now)
 {
-    const auto result =
-        detail::fit_of(queue, engine, detail::room_of(queue, engine), detail::hold_of(queue, engine, now), entry, now);
+    detail::forget_old_holds(queue, now);
+    const auto result = detail::fit_of(queue, engine, detail::room_of(queue, engine, now),
+                                       detail::hold_of(queue, engine, now), entry, now);
+    detail::hold_for_segment(queue, entry, result == detail::fit::now, now);
     if (result == detail::fit::now)
     {
         return std::nullopt;
@@ -245,6 +247,7 @@
     if (found != queue.grants_.end())
     {
         found->second.prefilling_ = false;
+        detail::return_segment(queue, found->second, true);
     }
 }
 
@@ -257,6 +260,7 @@
     }
     grant ended = std::move(found->second);
     queue.grants_.erase(found);
+    detail::return_segment(queue, ended, used_output > token_count{0} || !ended.prefilling_);
     detail::refund(queue, ended, ended.entry_.max_output_ - used_output);
     learn_from(queue, ended, used_output, now);
     return ended;
--- a/packages/decisions/src/process/engine_queue_detail.hpp
+++ b/packages/decisions/src/process/engine_queue_detail.hpp
@@ -27,7 +27,7 @@
     token_count free_memory_;
     token_count urgent_memory_;  ///< memory kept for the urgent rank
     int long_prefills_ = 0;
-    /// Short prompts in prefill, by the rank that their engine priority stands for.
+    /// Short prompts and overdue long ones in prefill, by the rank that their engine priority stands for.
     std::array<token_count, all_ranks.size()> prefill_;
 };
 
@@ -84,13 +84,16 @@
 /// @brief @a value rounded up, saturating.
 [[nodiscard]] milliseconds to_milliseconds(fractional_ms value) noexcept;
 
+/// @brief Slots of @a engine that ranks below urgent never hold.
+[[nodiscard]] int urgent_slots_of(const engine_state& engine) noexcept;
+
 /// @brief What is left of @a engine. Linear in the grants.
-[[nodiscard]] engine_room room_of(const engine_queue& queue, const engine_state& engine);
+[[nodiscard]] engine_room room_of(const engine_queue& queue, const engine_state& engine, time_point now);
 
 /// @brief True when @a which has work and has had less than its floor.
 [[nodiscard]] bool is_due(const rank_queue& which) noexcept;
 
-/// @brief True when a request of this rank waits. Linear in the callers.
+/// @brief True when a request of this rank waits or room is held for a segment. Linear in the callers.
 [[nodiscard]] bool has_work(const rank_queue& which) noexcept;
 
 /// @brief The request for which freed memory is kept; its entry is null when there is none. Linear in the waiting
@@ -101,6 +104,22 @@
 [[nodiscard]] fit fit_of(const engine_queue& queue, const engine_state& engine, const engine_room& room,
                          const memory_hold& hold, const queue_entry& entry, time_point now);
 
+/// @brief True when room is held for a segment that does not have it.
+[[nodiscard]] bool has_segment_hold(const rank_queue& which) noexcept;
+
+/// @brief Memory of that segment; 0 when there is none.
+[[nodiscard]] token_count segment_memory(const rank_queue& which) noexcept;
+
+/// @brief Holds room for the segment @a entry if it is the turn of its caller and no other segment has it.
+/// @param granted the segment has its room now
+void hold_for_segment(engine_queue& queue, const queue_entry& entry, bool granted, time_point now);
+
+/// @brief Ends holds whose time is over.
+void forget_old_holds(engine_queue& queue, time_point now);
+
+/// @brief Revives the hold of an ended grant, or ends it when the grant was used.
+void return_segment(engine_queue& queue, const grant& ended, bool used);
+
 /// @brief Start tag of the next request of @a share in start-time fair queuing.
 [[nodiscard]] double start_tag(const rank_queue& queue, const caller_share& share) noexcept;
 
--- a/packages/decisions/src/process/engine_queue_estimate.cpp
+++ b/packages/decisions/src/process/engine_queue_estimate.cpp
@@ -91,9 +91,8 @@
 fractional_ms wait_after(const demand& ahead, const engine_queue& queue, const engine_state& engine,
                          const queue_entry& entry)
 {
-    const engine_room room = room_of(queue, engine);
-    const double slots = room.slots_ - (entry.rank_ == rank::urgent ? 0 : room.urgent_slots_);
-    const auto memory = static_cast<double>(room.memory_.get());
+    const double slots = engine.load_.slots_ - (entry.rank_ == rank::urgent ? 0 : urgent_slots_of(engine));
+    const auto memory = static_cast<double>(engine.load_.kv_total_.get());
     if (slots <= 0.0 || memory <= 0.0 || engine.load_.prefill_rate_.get() <= 0.0)
     {
         return std::numeric_limits<double>::infinity();
--- a/packages/decisions/src/process/engine_queue_grant.cpp
+++ b/packages/decisions/src/process/engine_queue_grant.cpp
@@ -156,9 +156,11 @@
 std::vector<grant> grant_next(engine_queue& queue, const engine_state& engine, time_point now)
 {
     std::vector<grant> granted;
+    detail::forget_old_holds(queue, now);
     while (engine.condition_ == engine_condition::ready && !engine.load_.draining_)
     {
-        selection_state state{engine, detail::room_of(queue, engine), detail::hold_of(queue, engine, now), now, {}};
+        selection_state state{
+            engine, detail::room_of(queue, engine, now), detail::hold_of(queue, engine, now), now, {}};
         const std::optional<selection> selected = select_next(queue, state);
         if (!selected)
         {
--- a/packages/decisions/src/process/engine_queue_room.cpp
+++ b/packages/decisions/src/process/engine_queue_room.cpp
@@ -20,6 +20,9 @@
 /// A granted request may take this much longer than estimated. An overloaded queue grants its oldest requests, so
 /// without a margin each small error of the estimate ends one after its limit.
 constexpr double deadline_tolerance = 1.1;
+/// A long prompt in prefill does not delay the grants of short ones, which the engine prefills first. After this many
+/// times its prefill time it does, because a steady stream of short prompts would otherwise keep it from ending.
+constexpr double longest_long_prefill = 4.0;
 /// Engine priorities of one rank: rank × this + prompt tokens.
 constexpr int priorities_per_rank = 1 << 24;
 
@@ -32,28 +35,62 @@
     return rate.get() > 0.0 ? tokens * 1000.0 / rate.get() : std::numeric_limits<double>::infinity();
 }
 
-bool has_slot(const engine_room& room, rank which, bool due) noexcept
+/// True when other work has kept a long prompt in prefill for a multiple of the time that it needs.
+bool is_overdue(const engine_state& engine, const grant& held, time_point now) noexcept
+{
+    const auto age = std::chrono::duration<double, std::milli>(now - held.granted_at_).count();
+    return age >
+           longest_long_prefill * time_of(static_cast<double>(held.entry_.uncached_.get()), engine.load_.prefill_rate_);
+}
+
+/// Room that an entry leaves to others, which have waited for it.
+struct held_room
+{
+    token_count memory_;
+    int slots_ = 0;
+    bool long_prefill_ = false;
+};
+
+held_room held_from(const engine_queue& queue, const memory_hold& hold, const queue_entry& entry)
+{
+    held_room held;
+    if (hold.entry_ != nullptr && hold.entry_ != &entry && (hold.due_ || entry.rank_ >= hold.entry_->rank_))
+    {
+        held.memory_ += hold.tokens_;
+    }
+    // Segments do not wait for each other: two prompts that hold room on different engines would both starve.
+    if (entry.no_wait_)
+    {
+        return held;
+    }
+    for (const auto& [which, ranked] : queue.ranks_)
+    {
+        if (has_segment_hold(ranked) && (entry.rank_ >= which || is_due(ranked)))
+        {
+            held.memory_ += segment_memory(ranked);
+            ++held.slots_;
+            held.long_prefill_ = true;
+        }
+    }
+    return held;
+}
+
+bool has_slot(const engine_room& room, const held_room& held, rank which, bool due) noexcept
 {
     if (which == rank::urgent)
     {
-        return room.free_slots_ > 0;
+        return room.free_slots_ > held.slots_;
     }
     // A rank below its floor may take the last free slot: during an urgent overload the reserve is in use anyway, and a
     // free slot beyond it never appears. The bound on lower grants keeps the reserve out of their reach in total.
-    return due ? room.free_slots_ > 0 && room.other_grants_ < room.slots_ - room.urgent_slots_
-               : room.free_slots_ > room.kept_free_;
+    return due ? room.free_slots_ > held.slots_ && room.other_grants_ < room.slots_ - room.urgent_slots_
+               : room.free_slots_ > room.kept_free_ + held.slots_;
 }
 
-bool has_memory(const engine_room& room, const memory_hold& hold, const queue_entry& entry, bool due) noexcept
+bool has_memory(const engine_room& room, const held_room& held, const queue_entry& entry, bool due) noexcept
 {
     const token_count needed = memory_of(entry);
-    token_count available = room.free_memory_;
-    const bool yields =
-        hold.entry_ != nullptr && hold.entry_ != &entry && (hold.due_ || entry.rank_ >= hold.entry_->rank_);
-    if (yields)
-    {
-        available -= hold.tokens_;
-    }
+    token_count available = room.free_memory_ - held.memory_;
     // A request larger than the memory below the reserve could otherwise never be granted.
     const bool keeps_reserve = entry.rank_ != rank::urgent && !due && needed <= room.memory_ - room.urgent_memory_;
     if (keeps_reserve)
@@ -93,6 +130,11 @@
            queue.speed_factor_;
 }
 
+int urgent_slots_of(const engine_state& engine) noexcept
+{
+    return engine.load_.slots_ > 1 ? std::max(1, engine.load_.slots_ / urgent_reserve_divisor) : 0;
+}
+
 rank served_as(const engine_queue& queue, rank which)
 {
     const auto own = queue.ranks_.find(which);
@@ -133,12 +175,12 @@
     return value < largest ? milliseconds{static_cast<std::int64_t>(std::ceil(value))} : milliseconds::max();
 }
 
-engine_room room_of(const engine_queue& queue, const engine_state& engine)
+engine_room room_of(const engine_queue& queue, const engine_state& engine, time_point now)
 {
     engine_room room;
     room.slots_ = engine.load_.slots_;
     room.free_slots_ = room.slots_ - static_cast<int>(queue.grants_.size());
-    room.urgent_slots_ = room.slots_ > 1 ? std::max(1, room.slots_ / urgent_reserve_divisor) : 0;
+    room.urgent_slots_ = urgent_slots_of(engine);
     room.memory_ = engine.load_.kv_total_;
     room.largest_reserve_ = room.slots_ * 3 / 4;
     room.kept_free_ = std::max(room.urgent_slots_, static_cast<int>(std::lround(queue.learned_reserve_)));
@@ -148,11 +190,8 @@
         const grant& held = each.second;
         room.free_memory_ -= memory_of(held.entry_);
         room.other_grants_ += held.entry_.rank_ == rank::urgent ? 0 : 1;
-        if (held.prefilling_ && is_long(held.entry_))
-        {
-            ++room.long_prefills_;
-        }
-        else if (held.prefilling_)
+        room.long_prefills_ += held.prefilling_ && is_long(held.entry_) ? 1 : 0;
+        if (held.prefilling_ && (!is_long(held.entry_) || is_overdue(engine, held, now)))
         {
             room.prefill_.at(static_cast<std::size_t>(rank_of_priority(held.priority_))) += held.entry_.uncached_;
         }
@@ -208,15 +247,16 @@
     {
         return fit::prefill_busy;
     }
-    if (!has_slot(room, entry.rank_, due))
+    const held_room held = held_from(queue, hold, entry);
+    if (!has_slot(room, held, entry.rank_, due))
     {
         return fit::no_slot;
     }
-    if (is_long(entry) && room.long_prefills_ > 0)
+    if (is_long(entry) && (room.long_prefills_ > 0 || held.long_prefill_))
     {
         return fit::long_prefill;
     }
-    return has_memory(room, hold, entry, due) ? fit::now : fit::no_memory;
+    return has_memory(room, held, entry, due) ? fit::now : fit::no_memory;
 }
 
 }  // namespace cornelstall::detail
--- a/packages/decisions/src/process/engine_queue_shares.cpp
+++ b/packages/decisions/src/process/engine_queue_shares.cpp
@@ -42,7 +42,8 @@
 
 bool has_work(const rank_queue& which) noexcept
 {
-    return std::ranges::any_of(which.callers_, [](const auto& each) { return !each.second.waiting_.empty(); });
+    return has_segment_hold(which) ||
+           std::ranges::any_of(which.callers_, [](const auto& each) { return !each.second.waiting_.empty(); });
 }
 
 bool is_due(const rank_queue& which) noexcept
--- a/tests/decisions/engine_queue_test.cpp
+++ b/tests/decisions/engine_queue_test.cpp
@@ -104,6 +104,15 @@
         note_first_part(queue, id_of(queue, "long 1"));
         REQUIRE(granted_requests(queue, engine) == std::vector<std::string>{"long 2"});
     }
+    SECTION("a stream of short prompts, which the engine prefills first, would keep a long one from ending")
+    {
+        const auto grants_after = [&](milliseconds time) {
+            must_enqueue(queue, engine, sample_entry("short 2", "c"));
+            return granted_requests(queue, engine, start_time + time).size();
+        };
+        REQUIRE(grants_after(milliseconds{19'000}) == 1);  // its prefill takes 5 s
+        REQUIRE(grants_after(milliseconds{21'000}) == 0);
+    }
     SECTION("a long prompt that failed in prefill would block the others")
     {
         REQUIRE(release(queue, id_of(queue, "long 1"), token_count{0}, start_time));
--- a/tests/decisions/queue_samples.hpp
+++ b/tests/decisions/queue_samples.hpp
@@ -45,6 +45,19 @@
     return entry;
 }
 
+/// @brief True when the entry is taken. Tests use this and `ends`, because clang-tidy-16 does not finish its check of
+/// optional access on functions with many optionals.
+inline bool accepts(engine_queue& queue, const engine_state& engine, const queue_entry& entry, time_point now)
+{
+    return !enqueue(queue, engine, entry, now).has_value();
+}
+
+/// @brief True when the grant ended now.
+inline bool ends(engine_queue& queue, const grant_id& id, std::int64_t used_output, time_point now)
+{
+    return release(queue, id, token_count{used_output}, now).has_value();
+}
+
 inline placement_request sample_request(const std::string& id, std::int64_t prompt = 1000)
 {
     placement_request request;
