--- a/standins/src/process/host.cpp
+++ b/standins/src/process/host.cpp
@@ -56,6 +56,10 @@
     }
     const std::string name = call.method_ + " " + call.path_;
     counters_.add("read");
+    if (on_read_)
+    {
+        on_read_(call);
+    }
     if (name.starts_with(faults_.match_))
     {
         if (faults_.outage_)
--- a/standins/src/process/host.hpp
+++ b/standins/src/process/host.hpp
@@ -32,6 +32,7 @@
     socket_address address_;
     fault_plan faults_;
     counters counters_;
+    std::function<void(const http_call&)> on_read_;      ///< sees each call, also those that faults leave unanswered
     std::function<json()> details_;                      ///< what `GET /control/counters` shows beside the counters
     std::function<awaitable<bool>(exchange&)> control_;  ///< answers further control calls; false when unknown
     std::shared_ptr<void> state_;  ///< the stand-in's own state; its timers need the context, so it is destroyed first
--- a/standins/src/process/log.cpp
+++ b/standins/src/process/log.cpp
@@ -40,15 +40,20 @@
 {
     log_settings settings_;
     std::map<std::string, log_stream> streams_;
-    double tokens_ = 1.0;  ///< append calls allowed now
+    double tokens_ = 0.0;  ///< append calls allowed now
     time_point refilled_at_ = clock::now();
 };
 
+double largest_burst(double rate)
+{
+    return std::max(1.0, rate * burst_seconds);
+}
+
 bool take_append_token(log_state& log, time_point now)
 {
     const double rate = log.settings_.appends_per_second_;
     const double elapsed = std::chrono::duration<double>(now - log.refilled_at_).count();
-    log.tokens_ = std::min(log.tokens_ + elapsed * rate, std::max(1.0, rate * burst_seconds));
+    log.tokens_ = std::min(log.tokens_ + elapsed * rate, largest_burst(rate));
     log.refilled_at_ = now;
     if (log.tokens_ < 1.0)
     {
@@ -154,6 +159,7 @@
     auto host = std::make_unique<detail::host>(address);
     auto log = std::make_shared<log_state>();
     log->settings_ = settings;
+    log->tokens_ = largest_burst(settings.appends_per_second_);
     host->state_ = log;
     host->details_ = [log] {
         json next = json::object();
--- a/standins/src/process/plain.cpp
+++ b/standins/src/process/plain.cpp
@@ -17,14 +17,18 @@
     std::map<std::string, std::uint64_t> read_by_body_;
 };
 
-awaitable<void> serve(detail::host& host, plain_state& plain, exchange& current)
+void count(plain_state& plain, const http_call& call)
 {
-    const http_call& call = current.call();
     if (const auto key = call.headers_.find("idempotency-key"); key != call.headers_.end())
     {
         ++plain.read_by_key_[key->second];
     }
     ++plain.read_by_body_[call.body_];
+}
+
+awaitable<void> serve(detail::host& host, plain_state& plain, exchange& current)
+{
+    const http_call& call = current.call();
     if (host.faults_.drain_)
     {
         host.counters_.add("refused_draining");
@@ -59,6 +63,9 @@
     host->details_ = [plain] {
         return json{{"keys", plain->read_by_key_}, {"bodies", plain->read_by_body_}};
     };
+    host->on_read_ = [plain](const http_call& call) {
+        count(*plain, call);
+    };
     host->start([&host = *host, plain](exchange& current) { return serve(host, *plain, current); });
     return running_standin{std::move(host)};
 }
--- a/standins/src/process/platform.cpp
+++ b/standins/src/process/platform.cpp
@@ -70,7 +70,10 @@
 awaitable<void> send_weights(detail::host& host, platform_state& platform, exchange& current)
 {
     const std::string chunk(chunk_bytes, 'w');
-    co_await current.begin_stream("application/octet-stream", [] {});
+    // GCC 12 destroys a closure twice that is a temporary of a co_await expression.
+    std::function<void()> nothing = [] {
+    };
+    co_await current.begin_stream("application/octet-stream", std::move(nothing));
     for ([[maybe_unused]] const int each : std::views::iota(0, chunks_per_transfer))
     {
         boost::asio::steady_timer pace{host.context_, platform.settings_.transfer_duration_ / chunks_per_transfer};
--- a/standins/src/request/answer_stream.cpp
+++ b/standins/src/request/answer_stream.cpp
@@ -173,7 +173,11 @@
     }
     try
     {
-        co_await current.begin_stream("text/event-stream", [answer] { answer->changed_.cancel(); });
+        // GCC 12 destroys a closure twice that is a temporary of a co_await expression.
+        std::function<void()> wake = [answer] {
+            answer->changed_.cancel();
+        };
+        co_await current.begin_stream("text/event-stream", std::move(wake));
         co_await send_answer(engine, *answer, writer);
     }
     catch (const boost::system::system_error&)
