Check that a lagging load report is as old as its lag

Cause: the test of the lag only waited until the report showed the reservation, which a report without lag does too.

Change: the test now requires that the lag has passed since the reservation.

--- a/tests/standins/engine_memory_test.cpp
+++ b/tests/standins/engine_memory_test.cpp
@@ -209,15 +209,17 @@
     }
 }
 
-TEST_CASE("a lagging load report shows the past")
+TEST_CASE("a load report that showed the present would hide decisions on old figures")
 {
     auto settings = small_engine();
     settings.report_lag_ = milliseconds{300};
     const auto engine = standins::start_engine(settings, any_port);
     caller client{engine};
     client.get("/v1/load");
+    const auto reserved_at = std::chrono::steady_clock::now();
     REQUIRE(client.post("/v1/kv/reservations", reservation(800)).status_ == 201);
     REQUIRE(eventually([&client] { return used_memory(client) == 800; }));
+    REQUIRE(std::chrono::steady_clock::now() - reserved_at >= settings.report_lag_);
 }
 
 TEST_CASE("urgent prompts are prefilled before others that came earlier")
