--- a/packages/decisions/src/process/claims.cpp
+++ b/packages/decisions/src/process/claims.cpp
@@ -69,9 +69,9 @@
     const auto retained = std::ranges::lower_bound(claims, oldest, {}, &live_claim::offset_);
     std::for_each(claims.begin(), retained, [&](const live_claim& claim) { index.key_of_claim_.erase(claim.id_); });
     claims.erase(claims.begin(), retained);
-    if (found->second.outcome_ && found->second.outcome_->offset_ < oldest)
+    if (auto& ended = found->second.outcome_; ended && ended->offset_ < oldest)
     {
-        found->second.outcome_.reset();
+        ended.reset();
     }
     erase_if_empty(index, found);
 }
@@ -161,9 +161,9 @@
     {
         return {key_verdict::different_request, std::nullopt};
     }
-    if (found->second.outcome_)
+    if (const auto& ended = found->second.outcome_; ended)
     {
-        return {key_verdict::replay, found->second.outcome_->answer_};
+        return {key_verdict::replay, ended->answer_};
     }
     return {now < deadline ? key_verdict::wait : key_verdict::unknown, std::nullopt};
 }
--- a/packages/runtime/include/cornelstall/runtime/process/claim_keeper.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/claim_keeper.hpp
@@ -25,7 +25,7 @@
 };
 
 /// @brief The stream named @a name of @a service.
-[[nodiscard]] log_stream stream_of(log_service service, std::string name);
+[[nodiscard]] log_stream stream_of(const log_service& service, const std::string& name);
 
 /// @brief Limits and periods of a claim keeper.
 struct claim_keeper_settings
@@ -111,12 +111,13 @@
 
 /// @brief Records how the call ended. The record is queued when the task starts and repeated until the log takes it.
 /// @return true when the log has acknowledged; false when the process stopped before or the queue was full
-[[nodiscard]] task<bool> record_outcome(std::shared_ptr<claim_keeper> keeper, held_claim held, recorded_answer answer);
+[[nodiscard]] task<bool> record_outcome(std::shared_ptr<claim_keeper> keeper, const held_claim& held,
+                                        recorded_answer answer);
 
 /// @brief Frees the key of a claim under which nothing ran and nothing will. A claim that still waits for its append is
 /// taken back; otherwise the `abandoned` record is repeated until the log takes it.
 /// @return as record_outcome
-[[nodiscard]] task<bool> abandon(std::shared_ptr<claim_keeper> keeper, claim_id id);
+[[nodiscard]] task<bool> abandon(std::shared_ptr<claim_keeper> keeper, const claim_id& id);
 
 /// @brief Waits while a claim without outcome stands, at most until @a deadline.
 /// @return a verdict other than `wait`
--- a/packages/runtime/src/process/claim_keeper.cpp
+++ b/packages/runtime/src/process/claim_keeper.cpp
@@ -190,7 +190,7 @@
 
 }  // namespace
 
-log_stream stream_of(log_service service, std::string name)
+log_stream stream_of(const log_service& service, const std::string& name)
 {
     return {[service, name](std::vector<std::string> records) { return append(service, name, std::move(records)); },
             [service, name](log_offset from, int limit, milliseconds wait) {
@@ -203,10 +203,11 @@
     while (!keeper->stopping_)
     {
         bool failed = false;
+        // Until the head is reached, calls are refused, so no read waits for a first record.
+        const milliseconds wait = keeper->index_.complete_ ? keeper->settings_.read_wait_ : milliseconds{0};
         try
         {
-            const auto page = co_await keeper->log_.read_(keeper->index_.next_, keeper->settings_.page_size_,
-                                                          keeper->settings_.read_wait_);
+            const auto page = co_await keeper->log_.read_(keeper->index_.next_, keeper->settings_.page_size_, wait);
             apply_page(*keeper, page);
         }
         catch (const connection_error&)
@@ -277,14 +278,14 @@
     co_return held;
 }
 
-task<bool> record_outcome(std::shared_ptr<claim_keeper> keeper, held_claim held, recorded_answer answer)
+task<bool> record_outcome(std::shared_ptr<claim_keeper> keeper, const held_claim& held, recorded_answer answer)
 {
     outcome_record record{held.id_, held.key_, held.call_, limit_answer(std::move(answer))};
     return append_until_acknowledged(std::move(keeper),
                                      {encode(std::move(record)), held.id_, nullptr, std::make_shared<bool>(false)});
 }
 
-task<bool> abandon(std::shared_ptr<claim_keeper> keeper, claim_id id)
+task<bool> abandon(std::shared_ptr<claim_keeper> keeper, const claim_id& id)
 {
     return append_until_acknowledged(std::move(keeper),
                                      {encode(abandoned_record{id}), id, nullptr, std::make_shared<bool>(false)});
--- a/packages/runtime/src/process/lease_keeper.cpp
+++ b/packages/runtime/src/process/lease_keeper.cpp
@@ -61,10 +61,10 @@
 
 task<bool> read_page(std::shared_ptr<lease_keeper> keeper)
 {
+    const milliseconds wait = keeper->view_.complete_ ? keeper->settings_.read_wait_ : milliseconds{0};
     try
     {
-        const auto page = co_await keeper->log_.read_(keeper->view_.next_, keeper->settings_.page_size_,
-                                                      keeper->settings_.read_wait_);
+        const auto page = co_await keeper->log_.read_(keeper->view_.next_, keeper->settings_.page_size_, wait);
         apply_page(*keeper, page);
         co_return true;
     }
--- a/packages/runtime/src/request/plain_call.cpp
+++ b/packages/runtime/src/request/plain_call.cpp
@@ -163,8 +163,15 @@
     while (const auto server = may_go_on() ? next_server(*context, request, tried) : std::nullopt)
     {
         tried.insert(server->id_);
-        last = co_await try_server(context, *server, request.call_, attempt_limit(*context, request));
-        if (last->answer_ || !is_retried(*context, request, *last))
+        auto ended = co_await try_server(context, *server, request.call_, attempt_limit(*context, request));
+        // What an earlier attempt may have done stays possible when this one certainly did not run.
+        if (last && last->outcome_ == outcome::unknown && ended.outcome_ == outcome::did_not_run)
+        {
+            ended.outcome_ = outcome::unknown;
+        }
+        const bool done = ended.answer_ || !is_retried(*context, request, ended);
+        last = std::move(ended);
+        if (done)
         {
             break;
         }
@@ -235,7 +242,7 @@
     switch (decision.verdict_)
     {
         case key_verdict::replay:
-            return replay(*decision.answer_);
+            return replay(decision.answer_.value_or(recorded_answer{}));
         case key_verdict::different_request:
             throw request_error(plain_key_misused, refusal_reason::malformed_request, outcome::did_not_run,
                                 "the Idempotency-Key was used for another method, path or body; send a new key");
