--- a/packages/runtime/include/cornelstall/runtime.hpp
+++ b/packages/runtime/include/cornelstall/runtime.hpp
@@ -19,6 +19,7 @@
 #include "cornelstall/runtime/process/entry_state.hpp"
 #include "cornelstall/runtime/process/lease_keeper.hpp"
 #include "cornelstall/runtime/process/log_event.hpp"
+#include "cornelstall/runtime/process/member_loop.hpp"
 #include "cornelstall/runtime/process/metrics.hpp"
 #include "cornelstall/runtime/process/order_giver.hpp"
 #include "cornelstall/runtime/process/reconciler.hpp"
