Keep joins from flooding the data centre

Cause: with 64 members starting at once, first messages between all pairs carried the whole table and truncated messages were followed up twice a second; the measurement program used more than a core and did not converge in 2 minutes. Change: a member met through others gets only the sender's own records and newer changes (baseline, wants_all in the protocol); new engines reach each member from their owner only; no faster pace for truncated messages.

--- a/packages/decisions/include/cornelstall/decisions/connection/peer_delta.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/peer_delta.hpp
@@ -15,6 +15,9 @@
 {
     std::uint64_t acknowledged_ = 0;  ///< own table sequence up to which the peer has applied everything
     std::uint64_t applied_ = 0;       ///< the peer's table sequence up to which this VM has applied everything
+    /// Own table sequence when this VM heard of the peer from a third member. The peer knows older changes from there,
+    /// so that the first message to it carries only the sender's own and newer ones; 0 for a peer found by its address.
+    std::uint64_t baseline_ = 0;
 };
 
 /// @brief What one exchange message carries, in both directions.
@@ -24,6 +27,7 @@
     vm_id receiver_;                  ///< empty when the sender knows only an address
     std::uint64_t sequence_ = 0;      ///< the sender's table sequence that this message covers
     std::uint64_t acknowledged_ = 0;  ///< the receiver's table sequence that the sender has applied
+    bool wants_all_ = false;          ///< the sender has met neither the receiver nor a member that knows it
     configuration_version version_;
     std::vector<member> members_;
     std::vector<engine_summary> engines_;
@@ -85,7 +89,7 @@
 ///
 /// Acknowledgements and sequences only grow, so that a repeated or late message changes nothing. An acknowledgement
 /// beyond the own sequence belongs to a former process at this address and is ignored. A peer that acknowledges nothing
-/// has not met this VM or has forgotten it, and gets everything again.
+/// has not met this VM or has forgotten it; it gets everything if it wants all.
 [[nodiscard]] delta_effect apply_delta(fleet_view& view, peer_progress& progress, const exchange_delta& delta,
                                        exchange_scope scope, time_point now);
 
--- a/packages/decisions/src/connection/peer_delta.cpp
+++ b/packages/decisions/src/connection/peer_delta.cpp
@@ -56,33 +56,40 @@
                                  [](const auto& each) { return each.model_.get().size() + 22; });
 }
 
+/// Which changes a peer may not know.
+struct change_filter
+{
+    vm_id peer_;
+    std::uint64_t since_ = 0;
+    bool all_own_ = false;  ///< the peer has not met this VM: its own records are included, however old
+};
+
 template <class Records, class ToItem>
-void collect(std::vector<change>& changes, const Records& records, const vm_id& peer, std::uint64_t since,
-             ToItem to_item)
+void collect(std::vector<change>& changes, const Records& records, const change_filter& filter, ToItem to_item)
 {
     for (const auto& [id, record] : records)
     {
-        const bool peer_told = !peer.empty() && record.learned_from_ == peer;
-        if (record.changed_at_ > since && !peer_told)
+        const bool is_own = record.changed_at_ > 0 && record.learned_from_.empty();
+        const bool peer_told = !is_own && record.learned_from_ == filter.peer_;
+        if ((record.changed_at_ > filter.since_ && !peer_told) || (filter.all_own_ && is_own))
         {
             changes.push_back({record.changed_at_, to_item(record)});
         }
     }
 }
 
-std::vector<change> unacknowledged(const fleet_view& view, const vm_id& peer, std::uint64_t since, exchange_scope scope)
+std::vector<change> unacknowledged(const fleet_view& view, const change_filter& filter, exchange_scope scope)
 {
     std::vector<change> changes;
-    collect(changes, view.data_centres_, peer, since,
+    collect(changes, view.data_centres_, filter,
             [](const data_centre_record& record) { return item{&record.summary_}; });
     if (scope == exchange_scope::own_data_centre)
     {
-        collect(changes, view.members_.members_, peer, since,
+        collect(changes, view.members_.members_, filter,
                 [](const member_record& record) { return item{&record.member_}; });
-        collect(changes, view.engines_, peer, since,
-                [](const engine_record& record) { return item{&record.summary_}; });
+        collect(changes, view.engines_, filter, [](const engine_record& record) { return item{&record.summary_}; });
         const auto own = view.demand_.find(view.members_.self_.id_);
-        if (own != view.demand_.end() && own->second.changed_at_ > since)
+        if (own != view.demand_.end() && (own->second.changed_at_ > filter.since_ || filter.all_own_))
         {
             changes.push_back({own->second.changed_at_, item{&own->second.demand_}});
         }
@@ -194,10 +201,16 @@
     delta.acknowledged_ = progress.applied_;
     delta.version_ = view.version_;
 
-    const std::size_t budget = progress.acknowledged_ == 0 ? limits.max_first_bytes_ : limits.max_bytes_;
+    delta.wants_all_ = progress.applied_ == 0 && progress.baseline_ == 0;
+
+    const bool is_first = progress.acknowledged_ == 0;
+    // Summaries are few, and another data centre has them from nobody else.
+    const std::uint64_t baseline = scope == exchange_scope::own_data_centre ? progress.baseline_ : 0;
+    const change_filter filter{peer, is_first ? baseline : progress.acknowledged_, is_first};
+    const std::size_t budget = is_first ? limits.max_first_bytes_ : limits.max_bytes_;
     std::size_t used = 0;
-    std::uint64_t covered = progress.acknowledged_;
-    for (const change& each : unacknowledged(view, peer, progress.acknowledged_, scope))
+    std::uint64_t covered = filter.since_;
+    for (const change& each : unacknowledged(view, filter, scope))
     {
         const std::size_t size = std::visit([](const auto* pointer) { return size_of(pointer); }, each.item_);
         if (used != 0 && used + size > budget)
@@ -232,6 +245,7 @@
     if (delta.acknowledged_ == 0)
     {
         progress.acknowledged_ = 0;
+        progress.baseline_ = delta.wants_all_ ? 0 : view.members_.sequence_;
     }
     else if (delta.acknowledged_ <= view.members_.sequence_)
     {
--- a/packages/decisions/src/process/membership_engines.cpp
+++ b/packages/decisions/src/process/membership_engines.cpp
@@ -123,16 +123,20 @@
     {
         return false;
     }
-    // Load reaches each member from the owner itself. If receivers passed it on as well, the bytes would grow with the
-    // square of the members.
-    const bool pass_on = is_first || record.summary_.owner_ != news.owner_ ||
-                         change_between(record.summary_.state_, news.state_) == engine_change::condition;
+    // A new engine and its load reach each member from the owner itself. If receivers passed them on as well, the bytes
+    // would grow with the square of the members.
+    const bool pass_on = !is_first && change_between(record.summary_.state_, news.state_) == engine_change::condition;
     record.summary_ = news;
     record.received_at_ = now;
+    record.learned_from_ = source;
+    if (is_first)
+    {
+        // Older than anything a peer has acknowledged, so that only members that want all get it from here.
+        record.changed_at_ = 1;
+    }
     if (pass_on)
     {
         record.changed_at_ = ++table.sequence_;
-        record.learned_from_ = source;
     }
     return true;
 }
--- a/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
@@ -44,7 +44,7 @@
 /// @brief Waits in the queue of @a engine until granted or refused, at the latest at the entry's deadline.
 /// When the calling task is destroyed or @a withdraw_reservation is called the entry leaves the queue.
 [[nodiscard]] task<reservation_result> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry,
-                                        metrics& counters);
+                                               metrics& counters);
 
 /// @brief Ends the wait of a request whose caller has gone.
 void withdraw_reservation(owned_engine_table& owner, const engine_id& engine, const request_id& request,
--- a/packages/runtime/include/cornelstall/runtime/process/member_loop.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/member_loop.hpp
@@ -56,7 +56,6 @@
     exchange_scope scope_ = exchange_scope::own_data_centre;
     std::shared_ptr<peer_channel> channel_;
     bool has_task_ = false;
-    bool is_behind_ = false;  ///< the last message did not hold all changes
     time_point heard_at_;
 };
 
--- a/packages/runtime/src/process/engine_owner.cpp
+++ b/packages/runtime/src/process/engine_owner.cpp
@@ -40,7 +40,8 @@
     });
 }
 
-task<reservation_result> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry, metrics& counters)
+task<reservation_result> reserve(owned_engine_table& owner, const engine_state& engine, queue_entry entry,
+                                 metrics& counters)
 {
     const auto id = engine.id_;
     const auto deadline = entry.deadline_;
--- a/packages/runtime/src/process/member_exchange.cpp
+++ b/packages/runtime/src/process/member_exchange.cpp
@@ -133,7 +133,6 @@
 {
     const known_peer& peer = loop->peers_[who];
     const exchange_delta message = message_to(*loop, who, peer.progress_, peer.scope_);
-    const bool holds_all = message.sequence_ == loop->view_.members_.sequence_;
     try
     {
         const exchange_delta reply = co_await channel->exchange(message, loop->settings_.exchange_limit_);
@@ -141,7 +140,7 @@
         {
             co_return false;
         }
-        receive(loop, reply).is_behind_ = !holds_all;
+        static_cast<void>(receive(loop, reply));
         co_return true;
     }
     catch (const connection_error&)
--- a/packages/runtime/src/process/member_loop.cpp
+++ b/packages/runtime/src/process/member_loop.cpp
@@ -32,12 +32,10 @@
     return std::uniform_real_distribution<double>(0.0, 1.0)(loop.random_);
 }
 
-milliseconds next_interval(member_loop& loop, const known_peer& peer)
+milliseconds next_interval(member_loop& loop)
 {
     const auto peers = std::ranges::count_if(loop.peers_, [](const auto& entry) { return entry.second.has_task_; });
-    return peer.is_behind_
-               ? loop.settings_.pace_.period_
-               : exchange_interval(loop.settings_.pace_, static_cast<std::size_t>(peers), random_share(loop));
+    return exchange_interval(loop.settings_.pace_, static_cast<std::size_t>(peers), random_share(loop));
 }
 
 /// Asks other members whether they reach @a who.
@@ -85,9 +83,8 @@
 task<> follow_peer(member_loop_ptr loop, vm_id who)
 {
     // The first exchanges are spread over an interval, so that a start of many VMs at once is not one burst.
-    co_await pause(loop,
-                   milliseconds{static_cast<std::int64_t>(
-                       random_share(*loop) * static_cast<double>(next_interval(*loop, loop->peers_[who]).count()))});
+    co_await pause(loop, milliseconds{static_cast<std::int64_t>(random_share(*loop) *
+                                                                static_cast<double>(next_interval(*loop).count()))});
     while (!loop->stopping_ && wanted_peers(*loop).contains(who))
     {
         const auto channel = channel_to(*loop, who);
@@ -107,7 +104,7 @@
         {
             report_unreachable(loop, who);
         }
-        co_await pause(loop, next_interval(*loop, loop->peers_[who]));
+        co_await pause(loop, next_interval(*loop));
     }
     loop->peers_[who].has_task_ = false;
     loop->peers_[who].channel_.reset();
@@ -217,7 +214,12 @@
     }
     for (const auto& [who, scope] : wanted_peers(*loop))
     {
-        known_peer& peer = loop->peers_[who];
+        const auto [entry, is_new] = loop->peers_.try_emplace(who);
+        known_peer& peer = entry->second;
+        if (is_new)
+        {
+            peer.progress_.baseline_ = loop->view_.members_.sequence_;
+        }
         if (!peer.has_task_)
         {
             peer.has_task_ = true;
--- a/packages/wire/src/connection/exchange_codec.cpp
+++ b/packages/wire/src/connection/exchange_codec.cpp
@@ -192,6 +192,7 @@
     message.set_receiver(plain.receiver_.get());
     message.set_sequence(plain.sequence_);
     message.set_acknowledged(plain.acknowledged_);
+    message.set_wants_all(plain.wants_all_);
     message.set_configuration_version(plain.version_.get());
     std::ranges::for_each(plain.members_, [&](const auto& each) { encode_member(*message.add_members(), each); });
     std::ranges::for_each(plain.engines_, [&](const auto& each) { encode_engine(*message.add_engines(), each); });
@@ -209,6 +210,7 @@
     plain.receiver_ = optional_id<vm_id>(message.receiver(), "receiver");
     plain.sequence_ = message.sequence();
     plain.acknowledged_ = message.acknowledged();
+    plain.wants_all_ = message.wants_all();
     plain.version_ = configuration_version{message.configuration_version()};
     std::ranges::transform(checked_list(message.members(), "members"), std::back_inserter(plain.members_),
                            decode_member);
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -17,6 +17,7 @@
     delta.receiver_ = vm_id{"b"};
     delta.sequence_ = 9;
     delta.acknowledged_ = 8;
+    delta.wants_all_ = true;
     delta.version_ = configuration_version{7};
     delta.members_ = {
         {vm_id{"a"}, socket_address{"10.0.0.1:70"}, data_centre_id{"home"}, incarnation{3}, member_state::leaving}};
