--- a/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
@@ -18,7 +18,7 @@
 /// @brief A task that waits for a grant.
 struct reservation_waiter
 {
-    explicit reservation_waiter(const executor& where) : signal_(where) {}
+    explicit reservation_waiter(const boost::asio::any_io_executor& where) : signal_(where) {}
 
     boost::asio::steady_timer signal_;  ///< cancelled when `result_` is set
     std::optional<reservation_result> result_;
--- a/packages/runtime/src/request/serve_completion.cpp
+++ b/packages/runtime/src/request/serve_completion.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds cancel_limit{30'000};
 /// Time that another attempt needs at the least to be of use.
 constexpr milliseconds least_useful_time{100};
+constexpr milliseconds replacement_pause{50};
 
 placement_request placement_of(const model_request& request)
 {
@@ -85,14 +86,20 @@
                         refusal.message_, refusal.retry_after_);
 }
 
+void log_unacknowledged(const request_id& request, const engine_id& engine)
+{
+    log_event(severity::warning, cancel_failed, "the engine's owner settles what it still holds",
+              {{"request", request.get()}, {"engine", engine.get()}});
+}
+
 /// Cancels what the engine may still hold, then gives the capacity back.
 task<> cancel_and_release(entry_state& state, socket_address address, engine_id engine, request_id request,
                           attempt_number attempt, grant_id given)
 {
-    if (!co_await cancel_at_engine(std::move(address), request, attempt, cancel_limit))
+    const bool acknowledged = co_await cancel_at_engine(std::move(address), request, attempt, cancel_limit);
+    if (!acknowledged)
     {
-        log_event(severity::warning, cancel_failed, "the engine's owner settles what it still holds",
-                  {{"request", request.get()}, {"engine", engine.get()}});
+        log_unacknowledged(request, engine);
     }
     state.access_.release_(engine, given, token_count{0});
 }
@@ -105,11 +112,15 @@
     const auto address = placed.engine_->address_;
     auto entry = entry_of(state, request, placed);
     const auto sent = entry.uncached_;
-    state.running_[request.id_] = {request.progress_.attempt_, engine, {}};
+    auto& running = state.running_[request.id_];
+    running.attempt_ = request.progress_.attempt_;
+    running.engine_ = engine;
+    running.entry_ = entry;
+    state.asked_[request.call_.model_] += sent;
     const auto answer = co_await state.access_.reserve_(engine, std::move(entry));
-    state.running_.erase(request.id_);
     if (const auto* const refusal = std::get_if<queue_refusal>(&answer))
     {
+        state.running_.erase(request.id_);
         request.excluded_.insert(engine);
         const bool elsewhere = refusal->reason_ == refusal_reason::no_engine_ready;
         if (!elsewhere || clock::now() >= request.deadline_)
@@ -119,12 +130,12 @@
         co_return std::nullopt;
     }
     const auto& given = std::get<grant>(answer);
-    if (const auto found = state.engines_.find(engine); found != state.engines_.end())
+    if (auto* const used = find_engine(state, engine); used != nullptr)
     {
-        found->second.sent_since_report_ += sent;
-        ++found->second.started_since_report_;
+        used->sent_since_report_ += sent;
+        ++used->started_since_report_;
     }
-    state.running_[request.id_] = {request.progress_.attempt_, engine, given.id_};
+    state.running_[request.id_].grant_ = given.id_;
     const auto result = co_await run_attempt(state, request, connection, given, address);
     state.running_.erase(request.id_);
     if (result.end_ == attempt_end::finished || result.end_ == attempt_end::refused)
@@ -173,6 +184,8 @@
         const auto result = co_await try_once(state, request, connection);
         if (!result)
         {
+            // The refusing engine is excluded; when it was the last one, it may recover meanwhile.
+            co_await sleep_for(replacement_pause);
             continue;
         }
         switch (result->end_)
@@ -248,6 +261,18 @@
     (void)co_await connection.write("data: " + encode_error(problem, request.id_) + "\n\n", deadline);
 }
 
+/// Decodes a body, large ones on the library's pool.
+task<completion_call> decode_body(completion_kind kind, std::string body)
+{
+    if (body.size() <= decode_inline_bytes)
+    {
+        co_return decode_completion(kind, body);
+    }
+    const auto text = std::make_shared<std::string>(std::move(body));
+    auto decoding = pplx::create_task([kind, text] { return decode_completion(kind, *text); });
+    co_return co_await await_task(std::move(decoding));
+}
+
 task<model_request> read_request(entry_state& state, caller_connection& connection, completion_kind kind,
                                  time_point arrived)
 {
@@ -265,12 +290,7 @@
     }
     const auto& limits = caller.service_->limits_;
     auto body = co_await connection.read_body(limits.max_body_, limits.body_timeout_);
-    auto call =
-        body.size() <= decode_inline_bytes
-            ? decode_completion(kind, body)
-            : co_await await_task(pplx::create_task([kind, text = std::make_shared<std::string>(std::move(body))] {
-                  return decode_completion(kind, *text);
-              }));
+    auto call = co_await decode_body(kind, std::move(body));
     co_return make_model_request(state, version, caller, std::move(call), connection.header("X-Rank"), arrived);
 }
 
