--- a/packages/runtime/include/cornelstall/runtime/connection/grpc_call.hpp
+++ b/packages/runtime/include/cornelstall/runtime/connection/grpc_call.hpp
@@ -24,18 +24,19 @@
 [[nodiscard]] task<grpc::Status> await_call(Start start)
 {
     auto where = co_await boost::asio::this_coro::executor;
+    // The closure is named: g++ 12 destroys a closure that is a temporary of a co_await expression twice.
+    auto initiate = [where](auto handler, Start begin) {
+        // std::function copies its target, Asio's handler can only be moved.
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        begin(grpc_callback([where, shared](grpc::Status status) mutable {
+            boost::asio::post(where, [resume = std::move(shared), status = std::move(status)] {
+                (*resume)(std::exception_ptr{}, status);
+            });
+        }));
+    };
     co_return co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>&,
                                                    void(std::exception_ptr, grpc::Status)>(
-        [where](auto handler, Start begin) {
-            // std::function copies its target, Asio's handler can only be moved.
-            auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-            begin(grpc_callback([where, shared](grpc::Status status) mutable {
-                boost::asio::post(where, [resume = std::move(shared), status = std::move(status)] {
-                    (*resume)(std::exception_ptr{}, status);
-                });
-            }));
-        },
-        boost::asio::use_awaitable, std::move(start));
+        std::move(initiate), boost::asio::use_awaitable, std::move(start));
 }
 
 }  // namespace cornelstall
--- a/packages/runtime/include/cornelstall/runtime/process/task.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/task.hpp
@@ -43,16 +43,17 @@
 [[nodiscard]] task<Result> await_task(pplx::task<Result> pending)
 {
     auto where = co_await boost::asio::this_coro::executor;
+    // The closure is named: g++ 12 destroys a closure that is a temporary of a co_await expression twice.
+    auto initiate = [where](auto handler, pplx::task<Result> started) {
+        // pplx copies its continuations, Asio's handler can only be moved.
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        started.then([where, shared](pplx::task<Result> finished) {
+            boost::asio::post(where, [shared, finished] { (*shared)(std::exception_ptr{}, finished); });
+        });
+    };
     auto ended = co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>&,
                                                       void(std::exception_ptr, pplx::task<Result>)>(
-        [where](auto handler, pplx::task<Result> started) {
-            // pplx copies its continuations, Asio's handler can only be moved.
-            auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-            started.then([where, shared](pplx::task<Result> finished) {
-                boost::asio::post(where, [shared, finished] { (*shared)(std::exception_ptr{}, finished); });
-            });
-        },
-        boost::asio::use_awaitable, std::move(pending));
+        std::move(initiate), boost::asio::use_awaitable, std::move(pending));
     co_return ended.get();
 }
 
