Satisfy the linter in the peer server, the member loop and their tests

Cause: clang-tidy refuses copied parameters, and moves into parameters that are references now. Change: executors are moved into place, credentials and peer requests are passed by reference, callers do not move them.

--- a/packages/runtime/include/cornelstall/runtime/connection/peer_server.hpp
+++ b/packages/runtime/include/cornelstall/runtime/connection/peer_server.hpp
@@ -51,7 +51,7 @@
     /// @param where runs the handlers; must outlive the server
     /// @param listen port 0 chooses a free port
     /// @throws process_error (id 412) when the address cannot be used
-    peer_server(const executor& where, const socket_address& listen, peer_credentials credentials,
+    peer_server(const executor& where, const socket_address& listen, const peer_credentials& credentials,
                 peer_handlers handlers, metrics& counters);
 
     /// @brief Cancels the calls that are still waiting and closes the listener.
--- a/packages/runtime/include/cornelstall/runtime/process/member_loop.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/member_loop.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "cornelstall/decisions.hpp"
@@ -62,7 +63,7 @@
 /// @brief State of the member loop; owned by the Asio thread and shared by its tasks.
 struct member_loop
 {
-    explicit member_loop(const executor& where, metrics& counters) : where_(where), counters_(&counters) {}
+    explicit member_loop(executor where, metrics& counters) : where_(std::move(where)), counters_(&counters) {}
 
     executor where_;
     metrics* counters_;
--- a/packages/runtime/src/connection/peer_server.cpp
+++ b/packages/runtime/src/connection/peer_server.cpp
@@ -156,8 +156,11 @@
 class peer_service final : public peer::Peer::CallbackService
 {
   public:
-    peer_service(const executor& where, peer_credentials credentials, peer_handlers handlers, metrics& counters)
-        : where_(where), credentials_(std::move(credentials)), handlers_(std::move(handlers)), counters_(&counters)
+    peer_service(executor where, peer_credentials credentials, peer_handlers handlers, metrics& counters)
+        : where_(std::move(where)),
+          credentials_(std::move(credentials)),
+          handlers_(std::move(handlers)),
+          counters_(&counters)
     {}
 
     grpc::ServerUnaryReactor* Exchange(grpc::CallbackServerContext* context, const peer::ExchangeRequest* request,
@@ -280,7 +283,7 @@
     int port_ = 0;
 };
 
-peer_server::peer_server(const executor& where, const socket_address& listen, peer_credentials credentials,
+peer_server::peer_server(const executor& where, const socket_address& listen, const peer_credentials& credentials,
                          peer_handlers handlers, metrics& counters)
     : implementation_(std::make_unique<implementation>(where, credentials, std::move(handlers), counters))
 {
--- a/packages/runtime/src/process/engine_memory.cpp
+++ b/packages/runtime/src/process/engine_memory.cpp
@@ -114,7 +114,7 @@
     {
         wanted_request question;
         question.requests_ = std::move(requests);
-        const auto reply = co_await channel->wanted(std::move(question), peer_call_limit);
+        const auto reply = co_await channel->wanted(question, peer_call_limit);
         wanted.emplace(reply.wanted_.begin(), reply.wanted_.end());
     }
     catch (const connection_error&)
--- a/packages/runtime/src/process/fleet_access.cpp
+++ b/packages/runtime/src/process/fleet_access.cpp
@@ -73,7 +73,7 @@
     const auto id = entry.request_;
     try
     {
-        reply = co_await channel->reserve(std::move(request), limit, control);
+        reply = co_await channel->reserve(request, limit, control);
     }
     catch (const connection_error&)
     {
@@ -110,7 +110,7 @@
             if (channel)
             {
                 release_request request{engine, given, used, first_part_only, true};
-                (void)co_await channel->release(std::move(request), peer_call_limit);
+                (void)co_await channel->release(request, peer_call_limit);
                 acknowledged = true;
             }
         }
@@ -146,7 +146,7 @@
     auto grants = request.grants_;
     try
     {
-        const auto reply = co_await channel->renew(std::move(request), peer_call_limit);
+        const auto reply = co_await channel->renew(request, peer_call_limit);
         std::ranges::for_each(grants, [&](const running_grant& announced) {
             if (std::ranges::find(reply.unknown_, announced.grant_) == reply.unknown_.end())
             {
--- a/tests/runtime/member_loop_test.cpp
+++ b/tests/runtime/member_loop_test.cpp
@@ -104,6 +104,11 @@
 /// The tasks of stopped loops must end before their state goes.
 struct fleet
 {
+    fleet() = default;
+    fleet(const fleet&) = delete;
+    fleet& operator=(const fleet&) = delete;
+    fleet(fleet&&) = delete;
+    fleet& operator=(fleet&&) = delete;
     ~fleet()
     {
         std::ranges::for_each(vms_, [](const auto& each) { each->kill(); });
@@ -219,7 +224,7 @@
     b.loop_->view_.version_ = configuration_version{7};
     REQUIRE(peers.until([&] { return a.adopted_.has_value(); }));
     REQUIRE(a.loop_->view_.version_ == configuration_version{7});
-    REQUIRE(a.adopted_->declarations_.front().text_ == "text");
+    REQUIRE(a.adopted_.value_or(fetch_configuration_reply{}).declarations_.at(0).text_ == "text");
     REQUIRE_FALSE(b.adopted_.has_value());
 }
 
