--- a/packages/runtime/include/cornelstall/runtime/process/lease_keeper.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/lease_keeper.hpp
@@ -15,7 +15,7 @@
 {
     int page_size_ = 1'000;
     milliseconds read_wait_{1'000};
-    milliseconds retry_pause_{500};  ///< after a failed read
+    milliseconds retry_pause_{500};  ///< after a read that failed or found nothing
 };
 
 /// @brief Keeps this VM's view of the lease of its data centre, and the lease when it gets it.
--- a/packages/runtime/src/process/claim_keeper.cpp
+++ b/packages/runtime/src/process/claim_keeper.cpp
@@ -202,22 +202,24 @@
 {
     while (!keeper->stopping_)
     {
-        bool failed = false;
+        milliseconds pause{0};
         // Until the head is reached, calls are refused, so no read waits for a first record.
         const milliseconds wait = keeper->index_.complete_ ? keeper->settings_.read_wait_ : milliseconds{0};
         try
         {
             const auto page = co_await keeper->log_.read_(keeper->index_.next_, keeper->settings_.page_size_, wait);
             apply_page(*keeper, page);
+            // A service that does not wait for a first record must not be asked without end.
+            pause = page.records_.empty() ? keeper->settings_.batch_period_ : milliseconds{0};
         }
         catch (const connection_error&)
         {
             keeper->metrics_->count("claims_read_failures_total");
-            failed = true;
+            pause = keeper->settings_.retry_pause_;
         }
-        if (failed)
+        if (pause > milliseconds{0})
         {
-            co_await sleep_for(keeper->clock_, keeper->settings_.retry_pause_);
+            co_await sleep_for(keeper->clock_, pause);
         }
     }
 }
--- a/packages/runtime/src/process/lease_keeper.cpp
+++ b/packages/runtime/src/process/lease_keeper.cpp
@@ -59,6 +59,7 @@
     log_change(keeper, former);
 }
 
+/// Reads and applies one page; false when the next read should wait a little.
 task<bool> read_page(std::shared_ptr<lease_keeper> keeper)
 {
     const milliseconds wait = keeper->view_.complete_ ? keeper->settings_.read_wait_ : milliseconds{0};
@@ -66,7 +67,8 @@
     {
         const auto page = co_await keeper->log_.read_(keeper->view_.next_, keeper->settings_.page_size_, wait);
         apply_page(*keeper, page);
-        co_return true;
+        // A service that does not wait for a first record must not be asked without end.
+        co_return !page.records_.empty();
     }
     catch (const connection_error&)
     {
--- a/packages/runtime/src/request/plain_call.cpp
+++ b/packages/runtime/src/request/plain_call.cpp
@@ -160,8 +160,13 @@
     std::set<server_id> tried;
     std::optional<attempt> last;
     // Nothing may be awaited between the check and the call, so that no pause of this task comes between them.
-    while (const auto server = may_go_on() ? next_server(*context, request, tried) : std::nullopt)
+    while (may_go_on())
     {
+        const auto server = next_server(*context, request, tried);
+        if (!server)
+        {
+            break;
+        }
         tried.insert(server->id_);
         auto ended = co_await try_server(context, *server, request.call_, attempt_limit(*context, request));
         // What an earlier attempt may have done stays possible when this one certainly did not run.
@@ -269,14 +274,10 @@
             ended.answer_->body_, false};
 }
 
-task<> record_in_background(std::shared_ptr<claim_keeper> keeper, held_claim held, recorded_answer answer)
-{
-    (void)co_await record_outcome(std::move(keeper), std::move(held), std::move(answer));
-}
-
-task<> abandon_in_background(std::shared_ptr<claim_keeper> keeper, claim_id id)
+/// Waits for an append that nobody needs to wait for.
+task<> run_in_background(task<bool> appended)
 {
-    (void)co_await abandon(std::move(keeper), std::move(id));
+    (void)co_await std::move(appended);
 }
 
 task<http_answer> send_claimed(shared_context context, plain_request request, held_claim held)
@@ -288,14 +289,15 @@
     if (!ended || ended->outcome_ == outcome::did_not_run)
     {
         // The caller may repeat the key at once; nothing ran under this claim and nothing will.
-        spawn(context->where_, "abandon_claim", abandon_in_background(context->claims_, held.id_));
+        spawn(context->where_, "abandon_claim", run_in_background(abandon(context->claims_, held.id_)));
         if (!ended)
         {
             refuse_without_server(request);
         }
         refuse_attempt(request, *ended);
     }
-    spawn(context->where_, "record_outcome", record_in_background(context->claims_, held, to_record(*ended)));
+    spawn(context->where_, "record_outcome",
+          run_in_background(record_outcome(context->claims_, held, to_record(*ended))));
     if (!ended->answer_)
     {
         refuse_attempt(request, *ended);
--- a/tests/runtime/fake_world.hpp
+++ b/tests/runtime/fake_world.hpp
@@ -51,15 +51,15 @@
         now_ = until;
     }
 
-    /// Starts @a work; the result is there when it has ended.
+    /// Starts @a work; the result holds one value when it has ended.
     template <class Result>
-    std::shared_ptr<std::optional<Result>> start(task<Result> work)
+    std::shared_ptr<std::vector<Result>> start(task<Result> work)
     {
-        auto result = std::make_shared<std::optional<Result>>();
+        auto result = std::make_shared<std::vector<Result>>();
         boost::asio::co_spawn(io_, std::move(work), [result](const std::exception_ptr& failure, Result value) {
             if (!failure)
             {
-                *result = std::move(value);
+                result->push_back(std::move(value));
             }
         });
         return result;
--- a/tests/runtime/lease_and_order_test.cpp
+++ b/tests/runtime/lease_and_order_test.cpp
@@ -54,13 +54,13 @@
         giver->calls_.free_transfers_ = []() -> task<std::optional<int>> {
             co_return 1;
         };
-        giver->calls_.read_back_ = [this](engine_id) {
+        giver->calls_.read_back_ = [this](const engine_id&) {
             return read_back();
         };
         giver->calls_.send_ = [this, index](given_order order) {
             return obey(index, std::move(order));
         };
-        giver->calls_.set_drained_ = [](std::vector<engine_id>) {
+        giver->calls_.set_drained_ = [](const std::vector<engine_id>&) {
         };
         givers_.push_back(giver);
         clock_.start(keep_lease(keepers_.back()));
@@ -186,7 +186,7 @@
         }
         co_return acknowledges;
     };
-    calls.ask_ = [](vm_id, std::vector<request_id>) -> task<std::optional<std::set<request_id>>> {
+    calls.ask_ = [](const vm_id&, const std::vector<request_id>&) -> task<std::optional<std::set<request_id>>> {
         co_return std::set<request_id>{};
     };
     calls.grants_ = [] {
--- a/tests/runtime/plain_call_test.cpp
+++ b/tests/runtime/plain_call_test.cpp
@@ -12,8 +12,8 @@
 /// What one call came to: an answer or a refusal.
 struct call_result
 {
-    std::optional<http_answer> answer_;
-    std::optional<request_error> refusal_;
+    std::shared_ptr<http_answer> answer_;
+    std::shared_ptr<request_error> refusal_;
 };
 
 task<call_result> call(std::shared_ptr<plain_call_context> context, plain_request request)
@@ -21,11 +21,11 @@
     call_result result;
     try
     {
-        result.answer_ = co_await call_plain_service(context, std::move(request));
+        result.answer_ = std::make_shared<http_answer>(co_await call_plain_service(context, std::move(request)));
     }
     catch (const request_error& refusal)
     {
-        result.refusal_ = refusal;
+        result.refusal_ = std::make_shared<request_error>(refusal);
     }
     co_return result;
 }
@@ -65,7 +65,7 @@
             return std::vector{plain_server{server_id{"1"}, socket_address{"127.0.0.1:1"}},
                                plain_server{server_id{"2"}, socket_address{"127.0.0.1:2"}}};
         };
-        context->send_ = [this](http_call) {
+        context->send_ = [this](const http_call&) {
             return serve();
         };
         context->note_draining_ = [](const server_id&) {
@@ -107,7 +107,7 @@
     {
         const auto result = start(vm, key, body, idempotent);
         clock_.advance(6s);
-        return result->value();
+        return result->at(0);
     }
 };
 
@@ -132,8 +132,8 @@
     const auto first = all.start(0);
     const auto second = all.start(1);
     all.clock_.advance(6s);
-    REQUIRE(first->value().answer_->body_ == "booked 1");
-    REQUIRE(second->value().answer_->body_ == "booked 1");
+    REQUIRE(first->at(0).answer_->body_ == "booked 1");
+    REQUIRE(second->at(0).answer_->body_ == "booked 1");
     REQUIRE(all.runs_ == 1);
 }
 
@@ -256,13 +256,13 @@
 {
     world all;
     const int before = all.log_.appends_;
-    std::vector<std::shared_ptr<std::optional<call_result>>> results;
+    std::vector<std::shared_ptr<std::vector<call_result>>> results;
     for (int number = 0; number < 200; ++number)
     {
         results.push_back(all.start(0, ("k" + std::to_string(number)).c_str()));
     }
     all.clock_.advance(6s);
-    REQUIRE(std::ranges::all_of(results, [](const auto& result) { return result->value().answer_.has_value(); }));
+    REQUIRE(std::ranges::all_of(results, [](const auto& result) { return result->at(0).answer_ != nullptr; }));
     REQUIRE(all.runs_ == 200);
     REQUIRE(all.log_.appends_ - before <= 10);
 }
