--- a/tests/runtime/fake_world.hpp
+++ b/tests/runtime/fake_world.hpp
@@ -42,10 +42,10 @@
     {
         const time_point until = now_ + step;
         run_ready();
-        for (auto due = next_due(until); due; due = next_due(until))
+        for (auto due = next_due(until); due.second; due = next_due(until))
         {
-            now_ = std::max(now_, due->first);
-            due->second->cancel();
+            now_ = std::max(now_, due.first);
+            due.second->cancel();
             run_ready();
         }
         now_ = until;
@@ -95,13 +95,14 @@
         {}
     }
 
-    std::optional<std::pair<time_point, shared_timer>> next_due(time_point until)
+    /// The first timer that is due, or null.
+    std::pair<time_point, shared_timer> next_due(time_point until)
     {
         std::erase_if(timers_, [](const auto& entry) { return entry.second.expired(); });
         const auto first = std::ranges::min_element(timers_, {}, [](const auto& entry) { return entry.first; });
         if (first == timers_.end() || first->first > until)
         {
-            return std::nullopt;
+            return {};
         }
         const std::pair due{first->first, first->second.lock()};
         timers_.erase(first);
--- a/tests/runtime/plain_call_test.cpp
+++ b/tests/runtime/plain_call_test.cpp
@@ -257,6 +257,7 @@
     world all;
     const int before = all.log_.appends_;
     std::vector<std::shared_ptr<std::vector<call_result>>> results;
+    results.reserve(200);
     for (int number = 0; number < 200; ++number)
     {
         results.push_back(all.start(0, ("k" + std::to_string(number)).c_str()));
