--- a/tests/runtime/fake_world.hpp
+++ b/tests/runtime/fake_world.hpp
@@ -42,24 +42,24 @@
     {
         const time_point until = now_ + step;
         run_ready();
-        for (auto due = next_due(until); due; due = next_due(until))
+        for (auto due = next_due(until); due.second; due = next_due(until))
         {
-            now_ = std::max(now_, due->first);
-            due->second->cancel();
+            now_ = std::max(now_, due.first);
+            due.second->cancel();
             run_ready();
         }
         now_ = until;
     }
 
-    /// Starts @a work; the result is there when it has ended.
+    /// Starts @a work; the result holds one value when it has ended.
     template <class Result>
-    std::shared_ptr<std::optional<Result>> start(task<Result> work)
+    std::shared_ptr<std::vector<Result>> start(task<Result> work)
     {
-        auto result = std::make_shared<std::optional<Result>>();
+        auto result = std::make_shared<std::vector<Result>>();
         boost::asio::co_spawn(io_, std::move(work), [result](const std::exception_ptr& failure, Result value) {
             if (!failure)
             {
-                *result = std::move(value);
+                result->push_back(std::move(value));
             }
         });
         return result;
@@ -95,13 +95,14 @@
         {}
     }
 
-    std::optional<std::pair<time_point, shared_timer>> next_due(time_point until)
+    /// The first timer that is due, or null.
+    std::pair<time_point, shared_timer> next_due(time_point until)
     {
         std::erase_if(timers_, [](const auto& entry) { return entry.second.expired(); });
         const auto first = std::ranges::min_element(timers_, {}, [](const auto& entry) { return entry.first; });
         if (first == timers_.end() || first->first > until)
         {
-            return std::nullopt;
+            return {};
         }
         const std::pair due{first->first, first->second.lock()};
         timers_.erase(first);
