--- a/apps/cornelctl/main.cpp
+++ b/apps/cornelctl/main.cpp
@@ -79,7 +79,7 @@
     const auto seconds = flags["time-limit"].as<std::int64_t>();
     if (seconds < 1 || seconds > max_time_limit_s)
     {
-        throw process_error(411, "--time-limit is out of range; use 1 to 3600 seconds");
+        throw process_error(414, "--time-limit is out of range; use 1 to 3600 seconds");
     }
     settings.time_limit_ = std::chrono::seconds{seconds};
     if (flags.count("arguments") > 0)
@@ -93,29 +93,29 @@
     return settings;
 }
 
-/// Throws process_error (id 411) when the command cannot run with these settings.
+/// Throws process_error (id 414) when the command cannot run with these settings.
 void check_needs(const command_needs& needs, const ctl_settings& settings)
 {
     const auto count = settings.arguments_.size();
     if (count < needs.least_arguments_ || count > needs.most_arguments_)
     {
-        throw process_error(411, "'" + std::string(needs.name_) + "' takes other arguments; see --help");
+        throw process_error(414, "'" + std::string(needs.name_) + "' takes other arguments; see --help");
     }
     if (needs.name_ == "publish" && count == 0 && settings.withdrawn_.empty())
     {
-        throw process_error(411, "nothing to publish; name directories, or services to --withdraw");
+        throw process_error(414, "nothing to publish; name directories, or services to --withdraw");
     }
     if (needs.name_ == "explain" && !is_request_id(settings.arguments_.front()))
     {
-        throw process_error(411, "the request id holds other characters than letters, digits, '-', '_' and '.'");
+        throw process_error(414, "the request id holds other characters than letters, digits, '-', '_' and '.'");
     }
     if (needs.log_ && settings.log_url_.empty())
     {
-        throw process_error(411, "the log's address is not set; use --log or CORNELSTALL_LOG");
+        throw process_error(414, "the log's address is not set; use --log or CORNELSTALL_LOG");
     }
     if ((needs.entry_ || settings.wait_) && (settings.entry_urls_.empty() || settings.operator_key_.empty()))
     {
-        throw process_error(411,
+        throw process_error(414,
                             "entry processes or operator key are not set; use --entry and --operator-key, or "
                             "CORNELSTALL_ENTRY and CORNELSTALL_OPERATOR_KEY");
     }
@@ -201,7 +201,7 @@
     const auto* const needs = std::ranges::find(commands, name, &command_needs::name_);
     if (needs == commands.end())
     {
-        throw process_error(411, "use check, publish, status, explain or hash-key; see --help");
+        throw process_error(414, "use check, publish, status, explain or hash-key; see --help");
     }
     const auto settings = read_settings(flags);
     check_needs(*needs, settings);
--- a/packages/runtime/include/cornelstall/runtime/connection/caller_listener.hpp
+++ b/packages/runtime/include/cornelstall/runtime/connection/caller_listener.hpp
@@ -26,7 +26,7 @@
     caller_listener& operator=(caller_listener&&) = delete;
 
     /// @brief Begins to accept connections.
-    /// @throws process_error (id 410) when the address cannot be bound
+    /// @throws process_error (id 413) when the address cannot be bound
     [[nodiscard]] task<> open();
 
     /// @brief Stops accepting and waits for open exchanges.
--- a/packages/runtime/src/connection/caller_listener.cpp
+++ b/packages/runtime/src/connection/caller_listener.cpp
@@ -207,7 +207,7 @@
     }
     catch (const std::exception& problem)
     {
-        throw process_error(410, "cannot listen on " + listener_->state_.settings_.listen_.get() +
+        throw process_error(413, "cannot listen on " + listener_->state_.settings_.listen_.get() +
                                      "; check --listen and that the port is free: " + problem.what());
     }
 }
--- a/packages/runtime/src/process/engine_watch.cpp
+++ b/packages/runtime/src/process/engine_watch.cpp
@@ -40,7 +40,7 @@
     const auto answer = co_await make_call(std::move(call));
     if (answer.status_ != status_ok)
     {
-        throw connection_error(243, "engine " + address.get() + " answered status " + std::to_string(answer.status_));
+        throw connection_error(247, "engine " + address.get() + " answered status " + std::to_string(answer.status_));
     }
     co_return answer.body_;
 }
--- a/packages/runtime/src/process/entry_process.cpp
+++ b/packages/runtime/src/process/entry_process.cpp
@@ -31,7 +31,7 @@
 constexpr event_kind stop_begun{4002, "stop_begun"};
 constexpr event_kind stop_finished{4003, "stop_finished"};
 constexpr event_kind stop_overdue{4004, "stop_overdue"};
-constexpr event_kind version_in_force{3001, "version_in_force"};
+constexpr event_kind version_in_force{3008, "version_in_force"};
 constexpr event_kind member_lost{4005, "member_died"};
 
 constexpr milliseconds stop_check_interval{50};
--- a/packages/runtime/src/process/member_exchange.cpp
+++ b/packages/runtime/src/process/member_exchange.cpp
@@ -16,9 +16,9 @@
 namespace
 {
 
-constexpr event_kind member_dead{4021, "member_dead"};
-constexpr event_kind live_members_changed{4022, "live_members_changed"};
-constexpr event_kind configuration_fetch_failed{4023, "configuration_fetch_failed"};
+constexpr event_kind member_dead{4026, "member_dead"};
+constexpr event_kind live_members_changed{4027, "live_members_changed"};
+constexpr event_kind configuration_fetch_failed{4028, "configuration_fetch_failed"};
 
 /// Ends a task's registration among the sleeping tasks.
 class pause_entry
