Place requests on the engines of all owners

Cause: found by reading while documenting: place() read this VM's own table, in which an engine of another owner stays unreachable, so a VM that owned no engine of a model refused it; a prompt above every engine's memory was told to retry; plain calls earned the retry budget twice. Ruled out: the summaries themselves; they arrive (status shows them) and known_engines() merges them. Change: place() uses known_engines(); a prompt that no engine can hold is refused memory_unavailable without a time to retry; one note_request per plain call.

--- a/packages/runtime/src/request/plain_request.cpp
+++ b/packages/runtime/src/request/plain_request.cpp
@@ -148,7 +148,6 @@
             throw request_error(122, refusal_reason::stopping, outcome::did_not_run, "this VM is stopping; retry",
                                 milliseconds{1000});
         }
-        note_request(state.retries_, clock::now());
         auto request = co_await read_plain_request(state, *connection, id);
         const auto answer = co_await call_plain_service(std::move(context), std::move(request));
         const auto type = answer.headers_.find("content-type");
--- a/packages/runtime/src/request/serve_completion.cpp
+++ b/packages/runtime/src/request/serve_completion.cpp
@@ -41,18 +41,35 @@
     return result;
 }
 
+/// True when engines with the model are ready but none is large enough: trying again would not help.
+bool exceeds_all_memories(const std::vector<const engine_state*>& engines, const model_request& request)
+{
+    const auto is_candidate = [&request](const engine_state* engine) {
+        return engine->condition_ == engine_condition::ready &&
+               has_model(*engine, request.call_.model_, request.call_.adapter_);
+    };
+    const auto needed = request.prompt_ + request.call_.max_output_;
+    return std::ranges::any_of(engines, is_candidate) &&
+           std::ranges::none_of(engines, [&](const engine_state* engine) {
+               return is_candidate(engine) && engine->load_.kv_total_ >= needed;
+           });
+}
+
 /// Chooses an engine; when all were tried the exclusions are lifted once, since an engine may have recovered.
 placement place(entry_state& state, model_request& request)
 {
-    std::vector<const engine_state*> engines;
-    std::ranges::transform(state.engines_, std::back_inserter(engines),
-                           [](const auto& entry) { return &entry.second; });
+    const auto engines = known_engines(state);
     auto chosen = choose_engine(engines, placement_of(request));
     if (!chosen && !request.excluded_.empty())
     {
         request.excluded_.clear();
         chosen = choose_engine(engines, placement_of(request));
     }
+    if (!chosen && exceeds_all_memories(engines, request))
+    {
+        throw request_error(109, refusal_reason::memory_unavailable, outcome::did_not_run,
+                            "the prompt needs more memory than any one engine has; shorten it");
+    }
     if (!chosen)
     {
         throw request_error(
