--- a/packages/runtime/src/request/serve_completion.cpp
+++ b/packages/runtime/src/request/serve_completion.cpp
@@ -49,8 +49,7 @@
                has_model(*engine, request.call_.model_, request.call_.adapter_);
     };
     const auto needed = request.prompt_ + request.call_.max_output_;
-    return std::ranges::any_of(engines, is_candidate) &&
-           std::ranges::none_of(engines, [&](const engine_state* engine) {
+    return std::ranges::any_of(engines, is_candidate) && std::ranges::none_of(engines, [&](const engine_state* engine) {
                return is_candidate(engine) && engine->load_.kv_total_ >= needed;
            });
 }
