--- a/tests/fixed_seed.hpp
+++ b/tests/fixed_seed.hpp
@@ -8,14 +8,16 @@
 #include <utility>
 
 /// @brief Checks a rapidcheck property with a fixed seed, so that every run gives the same verdict.
+/// @param cases number of generated cases
 template <class Property>
-bool holds_with_seed(std::uint64_t seed, const std::string& name, Property&& property)
+bool holds_with_seed(std::uint64_t seed, const std::string& name, Property&& property, int cases = 100)
 {
     rc::detail::TestMetadata metadata;
     metadata.id = name;
     metadata.description = name;
     rc::detail::TestParams parameters;
     parameters.seed = seed;
+    parameters.maxSuccess = cases;
     const auto result = rc::detail::checkTestable(std::forward<Property>(property), metadata, parameters);
     rc::detail::printResultMessage(result, std::cerr);
     std::cerr << '\n';
