--- a/packages/runtime/include/cornelstall/runtime/connection/caller_connection.hpp
+++ b/packages/runtime/include/cornelstall/runtime/connection/caller_connection.hpp
@@ -20,7 +20,7 @@
 class caller_connection
 {
   public:
-    explicit caller_connection(web::http::http_request request);
+    explicit caller_connection(const web::http::http_request& request);
 
     /// @brief The value of header @a name, empty when it is absent.
     [[nodiscard]] std::string header(const std::string& name) const;
--- a/packages/runtime/include/cornelstall/runtime/process/task.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/task.hpp
@@ -37,6 +37,24 @@
 /// @param name names the task in that event
 void spawn(const executor& where, const char* name, task<> work);
 
+namespace detail
+{
+
+/// Marks an exception of an ended pplx task as seen. pplx ends the process with SIGTRAP when a task with an exception
+/// that nobody has looked at is destroyed, as happens to calls that were given up.
+template <class Result>
+void observe(const pplx::task<Result>& ended) noexcept
+{
+    try
+    {
+        ended.wait();
+    }
+    catch (...)  // NOLINT(bugprone-empty-catch): whoever still waits for the task gets the exception from it
+    {}
+}
+
+}  // namespace detail
+
 /// @brief Suspends the calling task until @a pending has ended; resumes on the task's own executor.
 /// @throws what @a pending throws
 template <class Result>
@@ -48,6 +66,7 @@
         // pplx copies its continuations, Asio's handler can only be moved.
         auto shared = std::make_shared<decltype(handler)>(std::move(handler));
         started.then([where, shared](pplx::task<Result> finished) {
+            detail::observe(finished);
             boost::asio::post(where, [shared, finished] { (*shared)(std::exception_ptr{}, finished); });
         });
     };
@@ -82,6 +101,7 @@
     auto state = std::make_shared<detail::race_state<Result>>(where);
     state->timer_.expires_after(limit);
     pending.then([where, state](pplx::task<Result> finished) {
+        detail::observe(finished);
         boost::asio::post(where, [state, finished] {
             state->ended_ = finished;
             state->timer_.cancel();
--- a/packages/runtime/src/connection/caller_connection.cpp
+++ b/packages/runtime/src/connection/caller_connection.cpp
@@ -29,8 +29,8 @@
     std::atomic<bool> gone_{false};
 };
 
-caller_connection::caller_connection(web::http::http_request request)
-    : request_(std::move(request)), sent_(std::make_shared<sent_state>())
+caller_connection::caller_connection(const web::http::http_request& request)
+    : request_(request), sent_(std::make_shared<sent_state>())
 {}
 
 std::string caller_connection::header(const std::string& name) const
--- a/packages/runtime/src/connection/engine_stream.cpp
+++ b/packages/runtime/src/connection/engine_stream.cpp
@@ -76,7 +76,7 @@
     request.set_body(std::move(body), "application/json");
     auto pending = state->client_.request(request, state->cancel_.get_token());
     // The continuation keeps the connection alive until the library has let go of it.
-    pending.then([state](const pplx::task<web::http::http_response>& ended) { (void)ended; });
+    pending.then([state](const pplx::task<web::http::http_response>& ended) { detail::observe(ended); });
     const auto ended = co_await await_task_for(pending, limit);
     if (!ended)
     {
--- a/packages/runtime/src/process/engine_owner.cpp
+++ b/packages/runtime/src/process/engine_owner.cpp
@@ -66,13 +66,13 @@
             // Cancelled because the result is there.
         }
     }
-    if (!waiter->result_)
+    if (waiter->result_)
     {
-        withdraw_reservation(owner, id, key.first, key.second);
-        co_return queue_refusal{refusal_reason::expired_in_queue, "the time limit passed while the request was queued",
-                                std::nullopt};
+        co_return *waiter->result_;
     }
-    co_return std::move(*waiter->result_);
+    withdraw_reservation(owner, id, key.first, key.second);
+    co_return queue_refusal{refusal_reason::expired_in_queue, "the time limit passed while the request was queued",
+                            std::nullopt};
 }
 
 void withdraw_reservation(owned_engine_table& owner, const engine_id& engine, const request_id& request,
--- a/packages/wire/src/request/completion_encode.cpp
+++ b/packages/wire/src/request/completion_encode.cpp
@@ -156,9 +156,9 @@
               {"reason", to_string(problem.reason())},
               {"outcome", to_string(problem.what_happened())},
               {"request_id", request.get()}};
-    if (problem.retry_after())
+    if (const auto retry_after = problem.retry_after())
     {
-        body["retry_after_ms"] = problem.retry_after()->count();
+        body["retry_after_ms"] = retry_after->count();
     }
     return json{{"error", std::move(body)}}.dump(-1, ' ', false, lenient);
 }
