--- a/packages/runtime/include/cornelstall/runtime/process/entry_state.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/entry_state.hpp
@@ -67,7 +67,7 @@
 /// @brief All state of one entry process. Owned by the Asio thread.
 struct entry_state
 {
-    explicit entry_state(settings values, const executor& where);
+    explicit entry_state(settings values, executor where);
 
     settings settings_;
     executor executor_;
--- a/packages/runtime/src/process/engine_owner.cpp
+++ b/packages/runtime/src/process/engine_owner.cpp
@@ -66,13 +66,11 @@
             // Cancelled because the result is there.
         }
     }
-    if (waiter->result_)
-    {
-        co_return *waiter->result_;
-    }
+    auto result = waiter->result_.value_or(queue_refusal{
+        refusal_reason::expired_in_queue, "the time limit passed while the request was queued", std::nullopt});
+    // Does nothing unless the entry still waits.
     withdraw_reservation(owner, id, key.first, key.second);
-    co_return queue_refusal{refusal_reason::expired_in_queue, "the time limit passed while the request was queued",
-                            std::nullopt};
+    co_return result;
 }
 
 void withdraw_reservation(owned_engine_table& owner, const engine_id& engine, const request_id& request,
--- a/packages/runtime/src/process/engine_watch.cpp
+++ b/packages/runtime/src/process/engine_watch.cpp
@@ -181,6 +181,19 @@
 namespace
 {
 
+/// Only a queue with waiting requests is checked between polls: a wake-up each 50 ms for each idle engine took a large
+/// part of the control budget. New requests, releases and first parts look at the queue themselves.
+milliseconds pause_before_next(const entry_state& state, const engine_id& engine, const watch_cursor& cursor)
+{
+    const auto owned = state.owner_.engines_.find(engine);
+    if (owned != state.owner_.engines_.end() && queued(owned->second.queue_) > 0)
+    {
+        return queue_check_interval;
+    }
+    const auto next_poll = std::min(cursor.next_load_, cursor.next_cache_);
+    return std::max(milliseconds{1}, remaining_until(next_poll, clock::now()));
+}
+
 /// Tells the other members of the data centre what this VM knows about an engine that it owns.
 void publish_summary(entry_state& state, const engine_state& engine)
 {
@@ -216,7 +229,7 @@
             pump(state.owner_, found->second, state.metrics_);
             publish_summary(state, found->second);
         }
-        co_await sleep_for(queue_check_interval);
+        co_await sleep_for(pause_before_next(state, engine, cursor));
     }
     memory->stopping_ = true;
     evict(state.owner_, engine, refusal_reason::no_engine_ready, "the engine has another owner now");
--- a/packages/runtime/src/process/entry_state.cpp
+++ b/packages/runtime/src/process/entry_state.cpp
@@ -41,9 +41,9 @@
     return result;
 }
 
-entry_state::entry_state(settings values, const executor& where)
+entry_state::entry_state(settings values, executor where)
     : settings_(std::move(values)),
-      executor_(where),
+      executor_(std::move(where)),
       self_(make_vm_id(settings_.name_)),
       alone_(make_membership(self_of(settings_, self_), std::chrono::steady_clock::now())),
       access_(make_local_access(*this))
--- a/packages/runtime/src/request/plain_request.cpp
+++ b/packages/runtime/src/request/plain_request.cpp
@@ -121,20 +121,16 @@
 
 std::shared_ptr<plain_call_context> make_plain_context(entry_state& state)
 {
-    auto context = std::make_shared<plain_call_context>(plain_call_context{state.executor_, machine_clock()});
-    context->claims_ = state.claims_;
-    context->budget_ = &state.retries_;
-    context->metrics_ = &state.metrics_;
-    context->servers_ = [&state](const std::string& service) {
-        return servers_of(state, service);
-    };
-    context->send_ = [](http_call call) {
-        return make_call(std::move(call));
-    };
-    context->note_draining_ = [&state](const server_id& server) {
-        state.draining_servers_.insert(server);
-    };
-    return context;
+    return std::make_shared<plain_call_context>(plain_call_context{
+        state.executor_,
+        machine_clock(),
+        state.claims_,
+        &state.retries_,
+        &state.metrics_,
+        [&state](const std::string& service) { return servers_of(state, service); },
+        [](http_call call) { return make_call(std::move(call)); },
+        [&state](const server_id& server) { state.draining_servers_.insert(server); },
+    });
 }
 
 task<> serve_plain(entry_state& state, std::shared_ptr<plain_call_context> context,
