Send answers in one place and drop an unused member

Cause: read-through of the whole change: reply() and start_stream() held the same continuation that notes a caller's departure, and owned_engine had a table that nothing used. Change: one function send() serves both; ended_unconfirmed_ is removed. Behaviour is the same.

--- a/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/engine_owner.hpp
@@ -29,7 +29,6 @@
 {
     engine_queue queue_;
     std::map<std::pair<request_id, attempt_number>, std::shared_ptr<reservation_waiter>> waiting_;
-    std::map<grant_id, grant> ended_unconfirmed_;  ///< released, but the engine may still hold the request
 };
 
 /// @brief All engines owned by this VM.
--- a/packages/runtime/src/connection/caller_connection.cpp
+++ b/packages/runtime/src/connection/caller_connection.cpp
@@ -21,6 +21,23 @@
                             " bytes; shorten it or ask the operators to raise limits.max_body_bytes");
 }
 
+/// Sends @a response and notes in @a sent when the caller turns out to have gone.
+template <class SentState>
+void send(const web::http::http_request& request, const web::http::http_response& response,
+          const std::shared_ptr<SentState>& sent)
+{
+    request.reply(response).then([sent](const pplx::task<void>& ended) {
+        try
+        {
+            ended.get();
+        }
+        catch (const std::exception&)
+        {
+            sent->gone_ = true;
+        }
+    });
+}
+
 }  // namespace
 
 /// Set from the library's threads.
@@ -106,16 +123,7 @@
         const auto seconds = (retry_after->count() + ms_per_second - 1) / ms_per_second;
         response.headers().add("Retry-After", std::max<std::int64_t>(1, seconds));
     }
-    request_.reply(response).then([sent = sent_](const pplx::task<void>& ended) {
-        try
-        {
-            ended.get();
-        }
-        catch (const std::exception&)
-        {
-            sent->gone_ = true;
-        }
-    });
+    send(request_, response, sent_);
 }
 
 void caller_connection::start_stream()
@@ -129,16 +137,7 @@
     web::http::http_response response(web::http::status_codes::OK);
     response.headers().add("Cache-Control", "no-cache");
     response.set_body(body_.create_istream(), "text/event-stream");
-    request_.reply(response).then([sent = sent_](const pplx::task<void>& ended) {
-        try
-        {
-            ended.get();
-        }
-        catch (const std::exception&)
-        {
-            sent->gone_ = true;
-        }
-    });
+    send(request_, response, sent_);
 }
 
 bool caller_connection::streaming() const noexcept
