--- /dev/null
+++ b/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "cornelstall/decisions/request/server_choice.hpp"
+
+namespace cornelstall
+{
+
+/// @brief One request that a VM has running on a backend server.
+struct reported_work
+{
+    server_id server_;
+    engine_work work_;
+};
+
+/// @brief Everything that a VM has running; replaces what that VM reported before.
+struct load_report
+{
+    vm_id vm_;
+    incarnation incarnation_;  ///< start of the process; a higher one replaces a lower one
+    std::uint64_t sequence_ = 0;
+    socket_address address_;
+    std::vector<reported_work> work_;
+    configuration_version version_;
+    bool leaving_ = false;
+};
+
+/// @brief A VM that reports its load.
+struct load_peer
+{
+    socket_address address_;
+    incarnation incarnation_;
+    std::uint64_t sequence_ = 0;
+    time_point heard_at_;
+    std::vector<reported_work> work_;
+    configuration_version version_;
+};
+
+/// @brief The other VMs by id.
+struct load_peers
+{
+    std::map<vm_id, load_peer> peers_;
+};
+
+/// @brief Takes over @a report into @a load.
+/// @return false when the report is older than one that was taken over already
+bool apply_report(load_peers& peers, fleet_load& load, const load_report& report, time_point now);
+
+/// @brief Adds a VM whose address is known but that has not reported yet.
+void add_peer(load_peers& peers, const vm_id& id, const socket_address& address, time_point now);
+
+/// @brief Drops the load of VMs that were silent for @a limit: their requests have ended with them.
+/// @return the VMs whose load was dropped
+std::vector<vm_id> drop_silent_load(load_peers& peers, fleet_load& load, milliseconds limit, time_point now);
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/decisions/include/cornelstall/decisions/process/engine_schedule.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "cornelstall/decisions/version/routing_table.hpp"
+
+namespace cornelstall
+{
+
+namespace detail
+{
+struct running_key_tag;
+}  // namespace detail
+
+/// @brief Names one request that runs on a backend server; unique over all VMs for as long as it runs.
+using running_key = strong_number<detail::running_key_tag, std::uint64_t>;
+
+/// @brief What an engine has to do for one request, from what VMs have sent and seen.
+struct engine_work
+{
+    running_key key_;
+    token_count prompt_{0};
+    token_count unread_{0};       ///< prompt tokens that the engine has still to read
+    token_count answer_left_{0};  ///< tokens that are expected to be generated
+    bool generating_ = false;     ///< the first token has been seen
+    int priority_ = 0;            ///< 0 is the most urgent
+    milliseconds target_{1000};   ///< goal for the first token, from the arrival of the request
+    time_point arrived_;          ///< arrival of the request at its VM
+    double value_ = 1.0;          ///< weight of this request against others
+};
+
+/// @brief The requests of one engine in the order of their arrival, simulated up to an instant.
+struct engine_schedule
+{
+    std::vector<engine_work> work_;
+    time_point simulated_until_;
+};
+
+/// @brief Value of a request against others: grows with the tokens that it uses.
+[[nodiscard]] double value_of(token_count prompt, token_count answer);
+
+/// @brief Advances @a load to @a now by the passes that an engine of @a profile makes.
+/// @param pace measured time over predicted time; above 1 is a slow engine
+void advance(engine_schedule& load, const engine_profile& profile, double pace, time_point now);
+
+/// @brief Adds @a added to @a load, which has been advanced to the present.
+void add_work(engine_schedule& load, engine_work added);
+
+/// @brief Notes that the engine generates for the request named @a key.
+void note_first_token(engine_schedule& load, running_key key);
+
+/// @brief Removes the request named @a key.
+void remove_work(engine_schedule& load, running_key key);
+
+/// @brief What placing a request on an engine is expected to bring.
+struct placement_forecast
+{
+    milliseconds first_token_{0};  ///< from now to the first token of the request
+    double benefit_ = 0.0;         ///< own expected value less what requests already there lose
+    bool fits_ = true;             ///< the engine has a slot and memory for it
+};
+
+/// @brief Simulates the engine with and without @a candidate.
+///
+/// Linear in the number of passes until all prompts are read, times the requests of the engine.
+/// @param load advanced to @a now
+[[nodiscard]] placement_forecast forecast_placement(const engine_schedule& load, const engine_profile& profile,
+                                                    double pace, const engine_work& candidate, time_point now);
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "cornelstall/value.hpp"
+
+namespace cornelstall
+{
+
+/// @brief What a backend server says of itself.
+enum class server_state
+{
+    ready,
+    draining
+};
+
+/// @brief A backend server as the platform lists it.
+struct listed_server
+{
+    server_id id_;
+    service_id service_;
+    socket_address address_;
+    data_centre_id data_centre_;
+    int slots_ = 1;
+    server_state state_ = server_state::ready;
+    std::uint64_t born_ms_ = 0;  ///< Unix millisecond of the start; tells a restart under the same id
+    milliseconds cold_remaining_{0};
+    std::uint64_t beat_ = 0;  ///< counts the entries of one start; a lower number is older news
+};
+
+/// @brief A listed server with what this VM found out about it.
+struct known_server
+{
+    listed_server listed_;
+    log_offset listed_at_;        ///< offset of the record that the entry came from
+    time_point cold_until_;       ///< the server works more slowly until then
+    time_point avoid_until_;      ///< not chosen before, unless nothing else is left
+    milliseconds avoid_step_{0};  ///< grows with failures in a row
+    double pace_ = 1.0;           ///< measured time over predicted time; above 1 is slower than its profile
+    int failures_in_a_row_ = 0;
+    std::uint64_t sent_ = 0;  ///< requests that this VM sent
+};
+
+/// @brief All backend servers that the platform lists.
+struct server_directory
+{
+    std::map<server_id, known_server> servers_;
+    std::map<server_id, log_offset> removed_;  ///< offsets of removals that a stale entry must not undo
+};
+
+/// @brief Takes over @a entry, read at @a at. A restart under the same id forgets what was found out before.
+/// @return true when the server is new, was restarted or changed its state
+bool list_server(server_directory& directory, listed_server entry, log_offset at, time_point now);
+
+/// @brief Removes the server named @a id unless a newer entry is known.
+/// @return true when it was listed
+bool unlist_server(server_directory& directory, const server_id& id, log_offset at);
+
+/// @brief Notes that a request failed on @a server in a way that says something about the server.
+void note_failure(known_server& server, time_point now);
+
+/// @brief Notes that @a server refused work because it is full.
+void note_full(known_server& server, time_point now);
+
+/// @brief Notes an answer of @a server to a request.
+void note_success(known_server& server);
+
+/// @brief The ready servers of @a service.
+[[nodiscard]] std::vector<known_server*> ready_servers(server_directory& directory, const service_id& service);
+
+/// @brief True when a server of any service is ready.
+[[nodiscard]] bool any_ready(const server_directory& directory);
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -0,0 +1,104 @@
+#include "cornelstall/decisions/connection/load_report.hpp"
+
+#include <algorithm>
+#include <ranges>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+engine_work* find_work(fleet_load& load, const reported_work& wanted)
+{
+    const auto engine = load.engines_.find(wanted.server_);
+    if (engine == load.engines_.end())
+    {
+        return nullptr;
+    }
+    const auto found = std::ranges::find(engine->second.work_, wanted.work_.key_, &engine_work::key_);
+    return found == engine->second.work_.end() ? nullptr : &*found;
+}
+
+void remove_reported(fleet_load& load, const reported_work& gone)
+{
+    const auto engine = load.engines_.find(gone.server_);
+    if (engine != load.engines_.end())
+    {
+        remove_work(engine->second, gone.work_.key_);
+    }
+}
+
+bool reports(const load_report& report, const reported_work& wanted)
+{
+    return std::ranges::any_of(report.work_, [&wanted](const reported_work& entry) {
+        return entry.work_.key_ == wanted.work_.key_ && entry.server_ == wanted.server_;
+    });
+}
+
+void merge(fleet_load& load, const reported_work& entry)
+{
+    engine_work* const known = find_work(load, entry);
+    if (known == nullptr)
+    {
+        add_work(load.engines_[entry.server_], entry.work_);
+        return;
+    }
+    if (entry.work_.generating_)
+    {
+        note_first_token(load.engines_[entry.server_], entry.work_.key_);
+        known->answer_left_ = entry.work_.answer_left_;
+    }
+}
+
+}  // namespace
+
+bool apply_report(load_peers& peers, fleet_load& load, const load_report& report, time_point now)
+{
+    auto& peer = peers.peers_[report.vm_];
+    if (report.incarnation_ < peer.incarnation_ ||
+        (report.incarnation_ == peer.incarnation_ && report.sequence_ <= peer.sequence_))
+    {
+        return false;
+    }
+    std::ranges::for_each(peer.work_, [&](const reported_work& before) {
+        if (!reports(report, before))
+        {
+            remove_reported(load, before);
+        }
+    });
+    std::ranges::for_each(report.work_, [&load](const reported_work& entry) { merge(load, entry); });
+    peer = load_peer{report.address_, report.incarnation_, report.sequence_, now, report.work_, report.version_};
+    if (report.leaving_ && report.work_.empty())
+    {
+        peers.peers_.erase(report.vm_);
+    }
+    return true;
+}
+
+void add_peer(load_peers& peers, const vm_id& id, const socket_address& address, time_point now)
+{
+    const auto [peer, inserted] = peers.peers_.try_emplace(id);
+    if (inserted || peer->second.sequence_ == 0)
+    {
+        peer->second.address_ = address;
+        peer->second.heard_at_ = now;
+    }
+}
+
+std::vector<vm_id> drop_silent_load(load_peers& peers, fleet_load& load, milliseconds limit, time_point now)
+{
+    std::vector<vm_id> dropped;
+    std::ranges::for_each(peers.peers_, [&](auto& entry) {
+        if (entry.second.work_.empty() || now - entry.second.heard_at_ < limit)
+        {
+            return;
+        }
+        std::ranges::for_each(entry.second.work_, [&load](const reported_work& gone) { remove_reported(load, gone); });
+        entry.second.work_.clear();
+        dropped.push_back(entry.first);
+    });
+    return dropped;
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/decisions/src/process/shared_retry_budget.cpp
@@ -0,0 +1,45 @@
+#include "cornelstall/decisions/process/shared_retry_budget.hpp"
+
+#include <algorithm>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+void drop_before(std::deque<time_point>& times, time_point first)
+{
+    while (!times.empty() && times.front() < first)
+    {
+        times.pop_front();
+    }
+}
+
+}  // namespace
+
+void note_request(shared_retry_budget& budget, const service_id& service, time_point now)
+{
+    auto& record = budget.services_[service];
+    drop_before(record.requests_, now - budget.bound_.window_);
+    record.requests_.push_back(now);
+}
+
+bool take_repeat(shared_retry_budget& budget, const service_id& service, time_point now)
+{
+    auto& record = budget.services_[service];
+    const auto first = now - budget.bound_.window_;
+    drop_before(record.requests_, first);
+    drop_before(record.repeats_, first);
+    const auto& bound = budget.bound_;
+    const double share = bound.extra_ / static_cast<double>(std::max<std::size_t>(1, budget.vms_));
+    const double allowed = bound.safety_ * (bound.ratio_ * static_cast<double>(record.requests_.size()) + share);
+    if (static_cast<double>(record.repeats_.size()) + 1.0 > allowed)
+    {
+        return false;
+    }
+    record.repeats_.push_back(now);
+    return true;
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/decisions/src/request/server_choice.cpp
@@ -0,0 +1,86 @@
+#include "cornelstall/decisions/request/server_choice.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+/// What a server in another data centre must bring more, against the bytes that cross.
+constexpr double other_data_centre_cost = 0.002;
+/// A request that finds no slot or memory waits in the engine's queue; it goes there only when nothing else fits.
+constexpr double full_engine_cost = 100.0;
+/// Plain calls leave their data centre when their own servers have this many requests more.
+constexpr double other_data_centre_requests = 1.0;
+
+struct ranked_server
+{
+    known_server* server_ = nullptr;
+    bool avoided_ = false;
+    double benefit_ = 0.0;
+    std::uint64_t tie_ = 0;
+    placement_forecast forecast_;
+};
+
+std::uint64_t tie_breaker(const server_id& id, std::uint64_t draw)
+{
+    return std::hash<server_id>{}(id) ^ draw;
+}
+
+ranked_server rank_engine(known_server& server, engine_schedule& load, const engine_profile& profile,
+                          const choice_request& request, time_point now)
+{
+    advance(load, profile, server.pace_, now);
+    ranked_server ranked;
+    ranked.server_ = &server;
+    ranked.forecast_ = forecast_placement(load, profile, server.pace_, request.work_, now);
+    ranked.benefit_ = ranked.forecast_.benefit_ - (ranked.forecast_.fits_ ? 0.0 : full_engine_cost);
+    return ranked;
+}
+
+ranked_server rank_plain(known_server& server, const engine_schedule& load)
+{
+    ranked_server ranked;
+    ranked.server_ = &server;
+    const auto slots = std::max(1, server.listed_.slots_);
+    ranked.forecast_.fits_ = static_cast<int>(load.work_.size()) < slots;
+    ranked.benefit_ = -static_cast<double>(load.work_.size());
+    return ranked;
+}
+
+}  // namespace
+
+server_choice choose_server(server_directory& directory, fleet_load& load, const service_description& service,
+                            const choice_request& request, time_point now)
+{
+    std::vector<ranked_server> ranked;
+    const auto ready = ready_servers(directory, service.id_);
+    std::ranges::for_each(ready, [&](known_server* server) {
+        if (std::ranges::find(request.tried_, server->listed_.id_) != request.tried_.end())
+        {
+            return;
+        }
+        auto& engine = load.engines_[server->listed_.id_];
+        auto entry = service.engine_ ? rank_engine(*server, engine, *service.engine_, request, now)
+                                     : rank_plain(*server, engine);
+        entry.avoided_ = server->avoid_until_ > now;
+        entry.tie_ = tie_breaker(server->listed_.id_, request.draw_);
+        if (server->listed_.data_centre_ != request.data_centre_)
+        {
+            entry.benefit_ -= service.engine_ ? other_data_centre_cost : other_data_centre_requests;
+        }
+        ranked.push_back(entry);
+    });
+    const auto best = std::ranges::min_element(
+        ranked, {}, [](const ranked_server& entry) { return std::tuple(entry.avoided_, -entry.benefit_, entry.tie_); });
+    if (best == ranked.end())
+    {
+        return {};
+    }
+    return {best->server_, best->forecast_, ranked.size()};
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/gateway/include/cornelstall/gateway/connection/caller_socket.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <memory>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "cornelstall/runtime/process/task.hpp"
+
+namespace cornelstall
+{
+
+struct gateway_state;
+
+/// @brief A TCP connection with a limit: when the limit passes, the socket is closed and what waits on it fails.
+struct limited_socket : std::enable_shared_from_this<limited_socket>
+{
+    explicit limited_socket(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer limit_;
+    boost::beast::flat_buffer buffer_;
+    bool expired_ = false;  ///< closed because the limit passed
+};
+
+/// @brief Closes @a connection at @a deadline; replaces an earlier limit.
+void limit_until(limited_socket& connection, time_point deadline);
+
+/// @brief Removes the limit.
+void remove_limit(limited_socket& connection);
+
+/// @brief Closes the socket at once; errors of a socket that is closed already do not matter.
+void close_now(limited_socket& connection);
+
+/// @brief Makes silent peers visible: keep-alive probes and a bound on unacknowledged data.
+void watch_for_silence(boost::asio::ip::tcp::socket& socket);
+
+/// @brief A caller's connection; lives for many requests.
+using caller_socket = limited_socket;
+
+/// @brief Accepts callers on @a acceptor until it is closed, one task for each connection.
+[[nodiscard]] task<> accept_callers(gateway_state& state, boost::asio::ip::tcp::acceptor& acceptor);
+
+/// @brief Closes the connections on which no request is open.
+void close_idle_callers(gateway_state& state);
+
+/// @brief Listens on @a address, an IP number and a port.
+/// @throws process_error (id 411) when the address cannot be used
+[[nodiscard]] boost::asio::ip::tcp::acceptor listen_on(const executor& where, const std::string& address);
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/gateway/include/cornelstall/gateway/connection/http_client.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+
+#include "cornelstall/gateway/connection/backend_socket.hpp"
+
+namespace cornelstall
+{
+
+/// @brief An answer of a service that this VM calls; status 0 means that there was none.
+struct client_answer
+{
+    unsigned status_ = 0;
+    std::string body_;
+};
+
+/// @brief Calls to one address, one at a time, on a connection that is kept. A call without an answer closes the
+/// connection, since nothing further can be expected on it.
+struct http_client
+{
+    executor executor_;
+    std::string address_;
+    std::shared_ptr<limited_socket> connection_;
+};
+
+/// @brief Makes one call.
+/// @param limit until the whole answer has arrived, connecting included
+[[nodiscard]] task<client_answer> call(std::shared_ptr<http_client> client, std::string method, std::string target,
+                                       std::string body, std::string content_type, milliseconds limit);
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_settings.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <vector>
+
+#include "cornelstall/decisions.hpp"
+
+namespace cornelstall
+{
+
+/// @brief Settings of one gateway process.
+struct gateway_settings
+{
+    std::string name_;
+    data_centre_id data_centre_;
+    std::string ip_;
+    socket_address listen_;            ///< callers
+    socket_address ready_listen_;      ///< the balancer's question whether this VM takes callers
+    unsigned short load_port_ = 0;     ///< UDP, reports of load between VMs
+    unsigned short metrics_port_ = 0;  ///< counters and latencies as text
+    std::size_t most_vms_ = 12;        ///< VMs that may run at once; divides the retry budget
+    retry_budget_bound retry_budget_;
+    std::optional<milliseconds> key_age_limit_;  ///< keys are not accepted on older news of the configuration
+    milliseconds stop_limit_{8000};              ///< the process is killed this long after SIGTERM
+};
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "cornelstall/gateway/connection/caller_socket.hpp"
+#include "cornelstall/gateway/process/gateway_settings.hpp"
+#include "cornelstall/gateway/request/protocol.hpp"
+#include "cornelstall/runtime/process/log_event.hpp"
+#include "cornelstall/runtime/process/metrics.hpp"
+#include "cornelstall/runtime/process/task.hpp"
+
+namespace cornelstall
+{
+
+/// @brief All state of one gateway process. Used from the Asio thread only.
+struct gateway_state
+{
+    gateway_state(gateway_settings values, gateway_protocol spoken, executor where);
+
+    gateway_settings settings_;
+    gateway_protocol protocol_;
+    executor executor_;
+    metrics metrics_;
+    std::mt19937_64 random_;
+
+    std::shared_ptr<const routing_table> table_;      ///< null until the first configuration is known
+    std::chrono::nanoseconds table_confirmed_at_{0};  ///< boot time at which the table was known to be the newest
+    bool servers_listed_ = false;                     ///< the list of servers has been read once
+    server_directory directory_;
+    fleet_load load_;
+    load_peers peers_;
+    shared_retry_budget retry_budget_;
+
+    incarnation incarnation_;
+    std::uint32_t next_key_ = 0;
+    std::vector<reported_work> own_work_;
+    std::function<void()> on_load_changed_ = [] {
+    };
+
+    bool stopping_ = false;  ///< SIGTERM arrived
+    std::size_t open_requests_ = 0;
+    std::set<std::shared_ptr<caller_socket>> idle_callers_;
+};
+
+/// @brief Time since the VM started, including time in which it was suspended.
+[[nodiscard]] std::chrono::nanoseconds boot_time();
+
+/// @brief True when this VM can serve callers.
+[[nodiscard]] bool is_ready(const gateway_state& state);
+
+/// @brief True while this VM's news of the configuration is fresh enough to accept keys.
+[[nodiscard]] bool keys_are_fresh(const gateway_state& state);
+
+/// @brief A key for a request that this process sends; unique over all VMs.
+[[nodiscard]] running_key make_running_key(gateway_state& state);
+
+/// @brief Puts @a table in force unless it is older than the present one.
+/// @return true when the version is new
+bool use_table(gateway_state& state, std::shared_ptr<const routing_table> table);
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "cornelstall/decisions.hpp"
+
+namespace cornelstall
+{
+
+/// @brief What a caller's message says, apart from its body.
+struct caller_request
+{
+    request_id id_;
+    std::string host_;  ///< without port
+    std::string path_;  ///< without query
+    std::string key_;   ///< empty when the caller sent none
+    std::optional<milliseconds> time_left_;
+    std::optional<token_count> prompt_;  ///< for generations
+    std::optional<token_count> answer_limit_;
+    std::optional<token_count> answer_estimate_;
+    std::optional<std::uint64_t> resume_after_;  ///< id of the last event that the caller has
+};
+
+/// @brief What is sent to a backend server beside the caller's own message.
+struct forward_details
+{
+    server_id server_;  ///< any other server must refuse the request
+    std::optional<organisation_id> organisation_;
+    milliseconds time_left_{0};
+    int urgency_ = 0;  ///< 0 is the most urgent
+    std::optional<std::uint64_t> resume_after_;
+};
+
+/// @brief What the head of a backend server's answer says.
+struct server_answer
+{
+    unsigned status_ = 0;
+    request_id answered_;        ///< the request that the answer belongs to; empty when it is not named
+    bool did_not_run_ = false;   ///< the server states that it did not run the request
+    bool other_server_ = false;  ///< another server has the address now
+    bool genuine_ = false;       ///< carries the mark without which a success does not count
+    bool encoded_ = false;       ///< the body is not the server's own bytes
+};
+
+/// @brief How a deployment's messages are read and written.
+struct gateway_protocol
+{
+    std::function<caller_request(const boost::beast::http::request<boost::beast::http::string_body>&)> read_request_;
+    /// Turns the caller's fields into those of the message to the server.
+    std::function<void(const forward_details&, boost::beast::http::fields&)> write_forward_fields_;
+    std::function<server_answer(const boost::beast::http::response_header<>&)> read_answer_;
+    /// Removes what concerns only the connection to the server.
+    std::function<void(boost::beast::http::fields&)> strip_answer_fields_;
+    /// Adds what every answer of this VM's own carries.
+    std::function<void(const caller_request&, boost::beast::http::fields&)> write_own_fields_;
+};
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/gateway/src/connection/caller_session.cpp
@@ -0,0 +1,185 @@
+#include <algorithm>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "cornelstall/gateway/request/exchange.hpp"
+
+namespace cornelstall
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using boost::asio::ip::tcp;
+using request_parser = http::request_parser<http::string_body>;
+
+constexpr event_kind bad_request{1020, "caller_message_refused"};
+constexpr event_kind accept_failed{2030, "accept_failed"};
+
+/// A caller that got `Connection: close` may still send; reading on for a moment keeps the answer from being reset.
+constexpr milliseconds linger_limit{300};
+/// Descriptors may be short; the next attempt waits this long.
+constexpr milliseconds accept_pause{50};
+constexpr std::size_t read_bytes = 4096;
+/// Room for pipelined bytes beside the header.
+constexpr std::size_t buffer_slack = 65536;
+
+caller_limits limits_of(const gateway_state& state)
+{
+    return state.table_ ? state.table_->limits_ : caller_limits{};
+}
+
+/// Waits for the first byte of the next request.
+/// @return false when the caller closed or stayed idle for too long
+task<bool> await_request(gateway_state& state, std::shared_ptr<caller_socket> caller)
+{
+    if (caller->buffer_.size() > 0)
+    {
+        co_return true;
+    }
+    limit_until(*caller, std::chrono::steady_clock::now() + limits_of(state).idle_timeout_);
+    state.idle_callers_.insert(caller);
+    boost::system::error_code failed;
+    co_await caller->socket_.async_wait(tcp::socket::wait_read, redirect_error(use_awaitable, failed));
+    state.idle_callers_.erase(caller);
+    co_return !failed && caller->socket_.is_open();
+}
+
+unsigned status_of(const boost::system::error_code& failed, bool expired)
+{
+    if (expired)
+    {
+        return 408;
+    }
+    if (failed == http::error::header_limit)
+    {
+        return 431;
+    }
+    if (failed == http::error::body_limit)
+    {
+        return 413;
+    }
+    return failed.category() == http::make_error_code(http::error::bad_method).category() ? 400 : 0;
+}
+
+/// Tells the caller why its message was not taken, as far as it can still be told.
+task<> refuse_message(gateway_state& state, std::shared_ptr<caller_socket> caller, boost::system::error_code failed)
+{
+    const unsigned status = status_of(failed, caller->expired_);
+    if (status == 0 || failed == http::error::end_of_stream || failed == http::error::partial_message)
+    {
+        co_return;
+    }
+    state.metrics_.count("gateway_messages_refused_total", {{"status", std::to_string(status)}});
+    log_event(severity::info, bad_request, failed.message(), {{"status", std::to_string(status)}});
+    if (!caller->socket_.is_open())
+    {
+        co_return;
+    }
+    http_response answer(static_cast<http::status>(status), 11);
+    answer.keep_alive(false);
+    answer.prepare_payload();
+    co_await http::async_write(caller->socket_, answer, redirect_error(use_awaitable, failed));
+}
+
+task<> linger(std::shared_ptr<caller_socket> caller)
+{
+    if (!caller->socket_.is_open())
+    {
+        co_return;
+    }
+    boost::system::error_code failed;
+    limit_until(*caller, std::chrono::steady_clock::now() + linger_limit);
+    caller->socket_.shutdown(tcp::socket::shutdown_send, failed);
+    while (!failed)
+    {
+        caller->buffer_.clear();
+        const auto read = co_await caller->socket_.async_read_some(caller->buffer_.prepare(read_bytes),
+                                                                   redirect_error(use_awaitable, failed));
+        caller->buffer_.commit(read);
+    }
+    close_now(*caller);
+}
+
+/// Reads one request. The parser is returned by pointer since it can be neither moved nor copied.
+task<std::unique_ptr<request_parser>> read_request(gateway_state& state, std::shared_ptr<caller_socket> caller)
+{
+    const auto limits = limits_of(state);
+    auto parser = std::make_unique<request_parser>();
+    parser->header_limit(static_cast<std::uint32_t>(limits.header_bytes_.get()));
+    parser->body_limit(limits.body_bytes_.get());
+    limit_until(*caller, std::chrono::steady_clock::now() + limits.header_timeout_);
+    boost::system::error_code failed;
+    co_await http::async_read_header(caller->socket_, caller->buffer_, *parser, redirect_error(use_awaitable, failed));
+    if (!failed)
+    {
+        limit_until(*caller, std::chrono::steady_clock::now() + limits.idle_timeout_);
+        co_await http::async_read(caller->socket_, caller->buffer_, *parser, redirect_error(use_awaitable, failed));
+    }
+    if (failed)
+    {
+        co_await refuse_message(state, caller, failed);
+        co_return nullptr;
+    }
+    remove_limit(*caller);
+    co_return parser;
+}
+
+task<> serve_caller(gateway_state& state, std::shared_ptr<caller_socket> caller)
+{
+    watch_for_silence(caller->socket_);
+    caller->buffer_.max_size(limits_of(state).header_bytes_.get() + buffer_slack);
+    bool keep = true;
+    while (keep)
+    {
+        const bool arriving = co_await await_request(state, caller);
+        if (!arriving)
+        {
+            break;
+        }
+        const auto arrived = std::chrono::steady_clock::now();
+        const auto parser = co_await read_request(state, caller);
+        if (!parser)
+        {
+            break;
+        }
+        keep = co_await serve_request(state, caller, parser->release(), arrived);
+    }
+    co_await linger(caller);
+}
+
+}  // namespace
+
+task<> accept_callers(gateway_state& state, tcp::acceptor& acceptor)
+{
+    while (acceptor.is_open())
+    {
+        boost::system::error_code failed;
+        auto socket = co_await acceptor.async_accept(redirect_error(use_awaitable, failed));
+        if (failed == boost::asio::error::operation_aborted)
+        {
+            break;
+        }
+        if (failed)
+        {
+            log_event(severity::warning, accept_failed, failed.message());
+            co_await sleep_for(accept_pause);
+            continue;
+        }
+        spawn(state.executor_, "serve_caller", serve_caller(state, std::make_shared<caller_socket>(std::move(socket))));
+    }
+}
+
+void close_idle_callers(gateway_state& state)
+{
+    const auto idle = state.idle_callers_;
+    std::ranges::for_each(idle, [](const std::shared_ptr<caller_socket>& caller) { close_now(*caller); });
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/gateway/src/connection/http_client.cpp
@@ -0,0 +1,85 @@
+#include "cornelstall/gateway/connection/http_client.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+
+/// Longest answer that is taken; the log's own pages are smaller.
+constexpr std::uint64_t largest_answer = 16ULL * 1024 * 1024;
+
+void drop_connection(http_client& client)
+{
+    if (client.connection_)
+    {
+        close_now(*client.connection_);
+        client.connection_.reset();
+    }
+}
+
+/// Connects unless a connection is open.
+/// @return false when that did not succeed
+task<bool> connect(std::shared_ptr<http_client> client, time_point deadline)
+{
+    if (!client->connection_ || !client->connection_->socket_.is_open())
+    {
+        client->connection_ = co_await connect_to(client->executor_, client->address_, deadline);
+    }
+    co_return client->connection_ != nullptr;
+}
+
+}  // namespace
+
+task<client_answer> call(std::shared_ptr<http_client> client, std::string method, std::string target, std::string body,
+                         std::string content_type, milliseconds limit)
+{
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    const bool connected = co_await connect(client, deadline);
+    if (!connected)
+    {
+        co_return client_answer{};
+    }
+    const auto connection = client->connection_;
+    limit_until(*connection, deadline);
+    http::request<http::string_body> request(http::string_to_verb(method), target, 11);
+    request.set(http::field::host, client->address_);
+    if (!content_type.empty())
+    {
+        request.set(http::field::content_type, content_type);
+    }
+    request.body() = std::move(body);
+    request.prepare_payload();
+    boost::system::error_code failed;
+    co_await http::async_write(connection->socket_, request, redirect_error(use_awaitable, failed));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(largest_answer);
+    if (!failed)
+    {
+        co_await http::async_read(connection->socket_, connection->buffer_, parser,
+                                  redirect_error(use_awaitable, failed));
+    }
+    if (failed)
+    {
+        drop_connection(*client);
+        co_return client_answer{};
+    }
+    remove_limit(*connection);
+    auto answer = parser.release();
+    if (!answer.keep_alive() || connection->buffer_.size() > 0)
+    {
+        drop_connection(*client);
+    }
+    co_return client_answer{answer.result_int(), std::move(answer.body())};
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -0,0 +1,148 @@
+#include "cornelstall/gateway/connection/load_exchange.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/redirect_error.hpp>
+
+#include "cornelstall/gateway/connection/backend_socket.hpp"
+#include "cornelstall/wire.hpp"
+
+namespace cornelstall
+{
+
+namespace
+{
+
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using boost::asio::ip::udp;
+
+constexpr event_kind peer_found{4040, "load_peer_found"};
+constexpr event_kind peer_silent{4041, "load_peer_silent"};
+
+/// Changes within this time go out together.
+constexpr milliseconds gather{1};
+/// Repeats heal lost datagrams and show that this VM lives.
+constexpr milliseconds report_interval{300};
+/// The requests of a VM that is silent for five reports have ended with it.
+constexpr milliseconds silence_limit{1500};
+/// A VM that is silent for this long gets no more reports until it is heard again.
+constexpr std::chrono::seconds forget_after{30};
+/// Fits one Ethernet frame.
+constexpr byte_count datagram_limit{1400};
+constexpr std::size_t largest_datagram = 65536;
+constexpr int receive_buffer_bytes = 262144;
+
+std::string encode(load_exchange& exchange, time_point now)
+{
+    const auto& state = exchange.state_;
+    load_report report;
+    report.vm_ = vm_id{state.settings_.name_};
+    report.incarnation_ = state.incarnation_;
+    report.sequence_ = ++exchange.sequence_;
+    report.address_ = socket_address{state.settings_.ip_ + ":" + std::to_string(state.settings_.load_port_)};
+    report.work_ = state.own_work_;
+    report.version_ = state.table_ ? state.table_->version_ : configuration_version{};
+    report.leaving_ = state.stopping_;
+    return encode_load_report(report, datagram_limit, now);
+}
+
+void send_to_peers(load_exchange& exchange, time_point now)
+{
+    const auto bytes = encode(exchange, now);
+    std::ranges::for_each(exchange.state_.peers_.peers_, [&](const auto& entry) {
+        const auto endpoint = parse_endpoint(entry.second.address_.get());
+        if (!endpoint || now - entry.second.heard_at_ > forget_after)
+        {
+            return;
+        }
+        boost::system::error_code dropped;
+        exchange.socket_.send_to(boost::asio::buffer(bytes), udp::endpoint(endpoint->address(), endpoint->port()), 0,
+                                 dropped);
+        if (dropped)
+        {
+            exchange.state_.metrics_.count("gateway_load_reports_dropped_total");
+        }
+    });
+}
+
+void report_silent_peers(load_exchange& exchange, time_point now)
+{
+    auto& state = exchange.state_;
+    std::ranges::for_each(drop_silent_load(state.peers_, state.load_, silence_limit, now), [](const vm_id& silent) {
+        log_event(severity::info, peer_silent, "a VM is silent; its requests are not counted any more",
+                  {{"vm", silent.get()}});
+    });
+}
+
+void take_over(load_exchange& exchange, std::string_view bytes)
+{
+    auto& state = exchange.state_;
+    const auto now = std::chrono::steady_clock::now();
+    const auto report = decode_load_report(bytes, now);
+    if (!report || report->vm_.get() == state.settings_.name_)
+    {
+        state.metrics_.count("gateway_load_reports_refused_total");
+        return;
+    }
+    const bool known = state.peers_.peers_.contains(report->vm_);
+    apply_report(state.peers_, state.load_, *report, now);
+    if (!known)
+    {
+        log_event(severity::info, peer_found, "a VM reports its load",
+                  {{"vm", report->vm_.get()}, {"address", report->address_.get()}});
+    }
+}
+
+}  // namespace
+
+load_exchange::load_exchange(gateway_state& state, udp::endpoint listen)
+    : state_(state), socket_(state.executor_, listen), next_report_(state.executor_)
+{
+    boost::system::error_code ignored;  // the default size only loses more datagrams in a burst
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
+    socket_.non_blocking(true);
+    state_.on_load_changed_ = [this] {
+        const auto soon = std::chrono::steady_clock::now() + gather;
+        if (next_report_.expiry() > soon)
+        {
+            next_report_.expires_at(soon);
+        }
+    };
+}
+
+task<> receive_load(std::shared_ptr<load_exchange> exchange)
+{
+    std::vector<char> bytes(largest_datagram);
+    udp::endpoint sender;
+    while (exchange->socket_.is_open())
+    {
+        boost::system::error_code failed;
+        const auto size = co_await exchange->socket_.async_receive_from(boost::asio::buffer(bytes), sender,
+                                                                        redirect_error(use_awaitable, failed));
+        if (!failed)
+        {
+            take_over(*exchange, std::string_view(bytes.data(), size));
+        }
+    }
+}
+
+task<> report_load(std::shared_ptr<load_exchange> exchange)
+{
+    while (true)
+    {
+        boost::system::error_code moved;
+        co_await exchange->next_report_.async_wait(redirect_error(use_awaitable, moved));
+        const auto now = std::chrono::steady_clock::now();
+        if (now < exchange->next_report_.expiry())
+        {
+            continue;
+        }
+        report_silent_peers(*exchange, now);
+        send_to_peers(*exchange, now);
+        exchange->next_report_.expires_at(now + report_interval);
+    }
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -0,0 +1,201 @@
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string_view>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "cornelstall/gateway/request/exchange.hpp"
+
+namespace cornelstall
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using answer_parser = http::response_parser<http::buffer_body>;
+
+constexpr event_kind stream_cut{2032, "stream_cut"};
+
+constexpr std::size_t read_bytes = 4096;
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view id_field = "id:";
+/// A caller that takes no event for this long has stopped reading.
+constexpr milliseconds caller_write_limit{4000};
+/// An event that grows beyond this is no event.
+constexpr std::size_t largest_event = 1U << 20U;
+
+/// The id of the last event in @a events, which are whole.
+std::optional<std::uint64_t> last_id(std::string_view events)
+{
+    auto at = events.rfind(id_field);
+    while (at != std::string_view::npos && at > 0 && events[at - 1] != '\n')
+    {
+        at = events.rfind(id_field, at - 1);
+    }
+    if (at == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    auto digits = events.substr(at + id_field.size());
+    digits.remove_prefix(std::min(digits.size(), digits.find_first_not_of(' ')));
+    std::uint64_t id = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), id);
+    return parsed.ec == std::errc{} ? std::optional(id) : std::nullopt;
+}
+
+http::response<http::empty_body> head_for(exchange& current, const answer_parser& parser)
+{
+    http::response<http::empty_body> head;
+    head.version(11);
+    head.result(parser.get().result_int());
+    head.reason(parser.get().reason());
+    std::ranges::for_each(
+        parser.get(), [&head](const auto& field) { head.insert(field.name(), field.name_string(), field.value()); });
+    current.state_.protocol_.strip_answer_fields_(head);
+    head.erase(http::field::content_length);
+    head.chunked(true);
+    head.keep_alive(current.keep_caller_);
+    return head;
+}
+
+task<bool> send_head(exchange& current, const answer_parser& parser)
+{
+    if (current.head_sent_)
+    {
+        co_return true;
+    }
+    auto head = head_for(current, parser);
+    current.head_sent_ = true;
+    current.answer_status_ = head.result_int();
+    http::response_serializer<http::empty_body> serializer(head);
+    boost::system::error_code failed;
+    co_await http::async_write_header(current.caller_->socket_, serializer, redirect_error(use_awaitable, failed));
+    co_return !failed;
+}
+
+task<bool> send_events(exchange& current, const answer_parser& parser, std::string_view events)
+{
+    const bool head_out = co_await send_head(current, parser);
+    if (!head_out)
+    {
+        co_return false;
+    }
+    boost::system::error_code failed;
+    limit_until(*current.caller_, std::chrono::steady_clock::now() + caller_write_limit);
+    co_await boost::asio::async_write(current.caller_->socket_,
+                                      http::make_chunk(boost::asio::buffer(events.data(), events.size())),
+                                      redirect_error(use_awaitable, failed));
+    remove_limit(*current.caller_);
+    co_return !failed;
+}
+
+task<bool> send_end_of_stream(exchange& current, const answer_parser& parser)
+{
+    const bool head_out = co_await send_head(current, parser);
+    if (!head_out)
+    {
+        co_return false;
+    }
+    boost::system::error_code failed;
+    co_await boost::asio::async_write(current.caller_->socket_, http::make_chunk_last(),
+                                      redirect_error(use_awaitable, failed));
+    co_return !failed;
+}
+
+void note_generating(exchange& current, const engine_profile& profile, std::size_t events)
+{
+    auto& state = current.state_;
+    const auto own = std::ranges::find_if(
+        state.own_work_, [&current](const reported_work& entry) { return entry.work_.key_ == current.running_; });
+    if (own == state.own_work_.end())
+    {
+        return;
+    }
+    auto& work = own->work_;
+    work.answer_left_ -= token_count{static_cast<std::int64_t>(events) * profile.steps_per_pass_};
+    work.unread_ = token_count{0};
+    if (!work.generating_)
+    {
+        work.generating_ = true;
+        note_first_token(state.load_.engines_[own->server_], work.key_);
+        state.on_load_changed_();
+    }
+}
+
+send_end end_of_cut_stream(exchange& current, std::shared_ptr<backend_socket> server)
+{
+    if (current.watch_->left_)
+    {
+        return send_end::broken_off;
+    }
+    ++current.possible_runs_;
+    const bool late = time_left(current).count() <= 0;
+    log_event(severity::info, stream_cut, late ? "the time limit passed" : "the server's stream ended early",
+              {{"request", current.facts_.id_.get()},
+               {"silent", server->expired_ ? "1" : "0"},
+               {"last_event", current.last_event_ ? std::to_string(*current.last_event_) : "none"}});
+    return late ? send_end::out_of_time : send_end::may_have_run;
+}
+
+}  // namespace
+
+task<send_end> relay_events(exchange& current, std::shared_ptr<backend_socket> server, answer_parser& parser,
+                            milliseconds gap)
+{
+    std::string pending;
+    std::array<char, read_bytes> bytes{};
+    bool any = false;
+    while (!parser.is_done())
+    {
+        if (any)
+        {
+            limit_until(*server, std::min(current.deadline_, std::chrono::steady_clock::now() + gap));
+        }
+        parser.get().body().data = bytes.data();
+        parser.get().body().size = bytes.size();
+        boost::system::error_code failed;
+        co_await http::async_read_some(server->socket_, server->buffer_, parser, redirect_error(use_awaitable, failed));
+        pending.append(bytes.data(), bytes.size() - parser.get().body().size);
+        const bool lost = failed && failed != http::error::need_buffer;
+        const auto whole = pending.rfind(event_end);
+        if (whole != std::string::npos)
+        {
+            const std::string_view events(pending.data(), whole + event_end.size());
+            const bool delivered = co_await send_events(current, parser, events);
+            if (!delivered)
+            {
+                co_return send_end::broken_off;
+            }
+            const auto id = last_id(events);
+            current.last_event_ = id ? id : current.last_event_;
+            any = true;
+            if (current.service_->engine_)
+            {
+                note_generating(current, *current.service_->engine_, 1);
+            }
+            pending.erase(0, whole + event_end.size());
+        }
+        if (lost || pending.size() > largest_event)
+        {
+            co_return end_of_cut_stream(current, server);
+        }
+    }
+    if (!pending.empty())
+    {
+        co_return end_of_cut_stream(current, server);
+    }
+    const bool ended = co_await send_end_of_stream(current, parser);
+    ++current.possible_runs_;
+    co_return ended ? send_end::answered : send_end::broken_off;
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -0,0 +1,278 @@
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "cornelstall/gateway/request/exchange.hpp"
+
+namespace cornelstall
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using answer_parser = http::response_parser<http::buffer_body>;
+
+constexpr event_kind answer_unusable{2031, "answer_unusable"};
+
+/// Servers are at most a few milliseconds away; a lost opening packet is sent again only after a second.
+constexpr milliseconds connect_limit{300};
+/// A forecast may be off by this factor and this time before a send that may be repeated is given up.
+constexpr int forecast_margin = 3;
+constexpr milliseconds forecast_slack{1500};
+/// Plain calls that may be repeated are given up after this many times their goal.
+constexpr int plain_goals = 4;
+/// A server that is silent in mid-stream for this long is lost; longer than a stall of an engine.
+constexpr milliseconds least_gap_limit{1600};
+/// Plain answers are kept whole in memory until they are known to be complete.
+constexpr std::size_t largest_plain_answer = 8U * 1024U * 1024U;
+constexpr std::size_t read_bytes = 8192;
+
+/// The message to the server, alive until its last byte has been written.
+struct outgoing
+{
+    explicit outgoing(http_request message) : message_(std::move(message)), serializer_(message_) {}
+
+    http_request message_;
+    http::request_serializer<http::string_body> serializer_;
+    bool written_ = false;
+};
+
+http_request message_for(const exchange& current, const listed_server& server)
+{
+    forward_details details;
+    details.server_ = server.id_;
+    details.organisation_ = current.organisation_;
+    details.time_left_ = time_left(current);
+    details.urgency_ = current.priority_;
+    details.resume_after_ = current.last_event_ ? current.last_event_ : current.facts_.resume_after_;
+    http_request message = current.request_;
+    current.state_.protocol_.write_forward_fields_(details, message);
+    message.version(11);
+    message.keep_alive(false);
+    message.prepare_payload();
+    return message;
+}
+
+/// Writes while the answer is awaited: a server may answer before it has read a long body.
+std::shared_ptr<outgoing> start_writing(const std::shared_ptr<backend_socket>& server, http_request message)
+{
+    auto sent = std::make_shared<outgoing>(std::move(message));
+    http::async_write(server->socket_, sent->serializer_,
+                      [sent, server](const boost::system::error_code& failed, std::size_t) {
+                          // Reading the answer reports a connection that failed.
+                          sent->written_ = !failed;
+                      });
+    return sent;
+}
+
+/// When a send that may be repeated is given up for want of a first byte.
+time_point first_byte_deadline(const exchange& current, const placement_forecast& forecast)
+{
+    if (!may_repeat(current))
+    {
+        return current.deadline_;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const auto patience = current.service_->engine_ ? forecast.first_token_ * forecast_margin + forecast_slack
+                                                    : current.route_->latency_target_ * plain_goals;
+    return std::min(current.deadline_, now + patience);
+}
+
+/// What the end of a connection without a usable answer means.
+send_end end_of_lost_send(exchange& current)
+{
+    if (current.watch_->left_)
+    {
+        return send_end::broken_off;
+    }
+    ++current.possible_runs_;
+    return time_left(current).count() <= 0 ? send_end::out_of_time : send_end::may_have_run;
+}
+
+send_end refuse_answer(exchange& current, const listed_server& server, const char* why)
+{
+    current.state_.metrics_.count("gateway_answers_unusable_total", {{"reason", why}});
+    log_event(severity::warning, answer_unusable, why,
+              {{"request", current.facts_.id_.get()}, {"server", server.id_.get()}});
+    return end_of_lost_send(current);
+}
+
+/// Reads the body of an answer to its end.
+/// @return nothing when the answer is not whole
+task<std::optional<std::string>> read_body(std::shared_ptr<backend_socket> server, answer_parser& parser)
+{
+    std::string body;
+    std::array<char, read_bytes> bytes{};
+    while (!parser.is_done() && body.size() < largest_plain_answer)
+    {
+        parser.get().body().data = bytes.data();
+        parser.get().body().size = bytes.size();
+        boost::system::error_code failed;
+        co_await http::async_read(server->socket_, server->buffer_, parser, redirect_error(use_awaitable, failed));
+        body.append(bytes.data(), bytes.size() - parser.get().body().size);
+        if (failed && failed != http::error::need_buffer)
+        {
+            co_return std::nullopt;
+        }
+    }
+    if (!parser.is_done())
+    {
+        co_return std::nullopt;
+    }
+    co_return body;
+}
+
+http_response plain_answer(exchange& current, answer_parser& parser, std::string body)
+{
+    http_response answer;
+    answer.result(parser.get().result_int());
+    answer.reason(parser.get().reason());
+    std::ranges::for_each(parser.get(), [&answer](const auto& field) {
+        answer.insert(field.name(), field.name_string(), field.value());
+    });
+    current.state_.protocol_.strip_answer_fields_(answer);
+    if (current.request_.method() != http::verb::head)
+    {
+        answer.erase(http::field::content_length);
+    }
+    answer.erase(http::field::transfer_encoding);
+    answer.body() = std::move(body);
+    return answer;
+}
+
+/// Why the head of an answer cannot be passed on; null when it can.
+const char* fault_of(const exchange& current, const server_answer& answer)
+{
+    if (!answer.answered_.empty() && answer.answered_ != current.facts_.id_)
+    {
+        return "answers_another_request";
+    }
+    if (answer.encoded_)
+    {
+        return "encoded_body";
+    }
+    if (!answer.genuine_)
+    {
+        return "not_genuine";
+    }
+    return nullptr;
+}
+
+send_end note_not_run(exchange& current, const listed_server& server, const server_answer& answer)
+{
+    const auto found = current.state_.directory_.servers_.find(server.id_);
+    if (found != current.state_.directory_.servers_.end())
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (answer.other_server_)
+        {
+            note_failure(found->second, now);
+        }
+        else
+        {
+            note_full(found->second, now);
+        }
+    }
+    current.state_.metrics_.count("gateway_sends_refused_total",
+                                  {{"reason", answer.other_server_ ? "other_server" : "full"}});
+    return send_end::did_not_run;
+}
+
+bool is_server_failure(unsigned status)
+{
+    return status >= 500;
+}
+
+task<send_end> relay_plain(exchange& current, const listed_server server, std::shared_ptr<backend_socket> connection,
+                           answer_parser& parser, const server_answer answer)
+{
+    auto body = co_await read_body(connection, parser);
+    if (!body)
+    {
+        co_return refuse_answer(current, server, "not_whole");
+    }
+    close_now(*connection);
+    ++current.possible_runs_;
+    auto whole = plain_answer(current, parser, std::move(*body));
+    const bool last = current.possible_runs_ >= current.route_->max_attempts_;
+    if (is_server_failure(answer.status_) && may_repeat(current) && !last)
+    {
+        current.failure_ = std::move(whole);
+        co_return send_end::server_failed;
+    }
+    co_return co_await deliver(current, std::move(whole));
+}
+
+task<send_end> relay_answer(exchange& current, const listed_server server, std::shared_ptr<backend_socket> connection,
+                            answer_parser& parser)
+{
+    const auto answer = current.state_.protocol_.read_answer_(parser.get());
+    if (answer.did_not_run_)
+    {
+        co_return note_not_run(current, server, answer);
+    }
+    const char* const fault = fault_of(current, answer);
+    if (fault != nullptr)
+    {
+        co_return refuse_answer(current, server, fault);
+    }
+    constexpr unsigned ok = 200;
+    if (current.route_->kind_ != request_kind::streaming || answer.status_ != ok)
+    {
+        co_return co_await relay_plain(current, server, connection, parser, answer);
+    }
+    const auto gap = std::max(least_gap_limit, current.route_->max_event_gap_ * 2);
+    co_return co_await relay_events(current, connection, parser, gap);
+}
+
+}  // namespace
+
+task<send_end> send_to_server(exchange& current, listed_server server, placement_forecast forecast)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto connection = co_await connect_to(current.state_.executor_, server.address_.get(),
+                                                std::min(current.deadline_, now + connect_limit));
+    if (current.watch_->left_)
+    {
+        co_return send_end::broken_off;
+    }
+    if (!connection)
+    {
+        const auto found = current.state_.directory_.servers_.find(server.id_);
+        if (found != current.state_.directory_.servers_.end())
+        {
+            note_failure(found->second, std::chrono::steady_clock::now());
+        }
+        current.state_.metrics_.count("gateway_sends_refused_total", {{"reason", "connect_failed"}});
+        co_return send_end::did_not_run;
+    }
+    current.watch_->active_ = connection;
+    limit_until(*connection, first_byte_deadline(current, forecast));
+    const auto sent = start_writing(connection, message_for(current, server));
+    answer_parser parser;
+    parser.body_limit(boost::none);
+    parser.skip(current.request_.method() == http::verb::head);
+    boost::system::error_code failed;
+    co_await http::async_read_header(connection->socket_, connection->buffer_, parser,
+                                     redirect_error(use_awaitable, failed));
+    auto end = send_end::may_have_run;
+    if (failed)
+    {
+        end = end_of_lost_send(current);
+    }
+    else
+    {
+        limit_until(*connection, current.deadline_);
+        end = co_await relay_answer(current, server, connection, parser);
+    }
+    close_now(*connection);
+    co_return end;
+}
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -0,0 +1,416 @@
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "cornelstall/gateway/request/exchange.hpp"
+
+namespace cornelstall
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using boost::asio::ip::tcp;
+
+constexpr event_kind refused{1021, "request_answered_by_vm"};
+constexpr event_kind served{1022, "request_served"};
+constexpr event_kind sent{1023, "server_chosen"};
+constexpr event_kind send_ended{1024, "send_ended"};
+
+/// A refused caller that comes back sooner meets the same state.
+constexpr milliseconds retry_soon{300};
+/// A VM without a configuration needs about this long to read it.
+constexpr milliseconds retry_later{1000};
+/// Sends that servers refused do not count as runs; this many more are made.
+constexpr int extra_sends = 2;
+
+std::string text_of(milliseconds value)
+{
+    return std::to_string(value.count());
+}
+
+const char* name_of(send_end end)
+{
+    constexpr std::array<const char*, 6> names{"answered",      "did_not_run", "may_have_run",
+                                               "server_failed", "broken_off",  "out_of_time"};
+    return names.at(static_cast<std::size_t>(end));
+}
+
+engine_work work_of(exchange& current)
+{
+    engine_work work;
+    work.key_ = make_running_key(current.state_);
+    work.prompt_ = current.facts_.prompt_.value_or(token_count{0});
+    work.unread_ = work.prompt_;
+    work.answer_left_ = current.facts_.answer_estimate_.value_or(token_count{0});
+    if (work.answer_left_ == token_count{0} && current.service_->engine_)
+    {
+        work.answer_left_ = current.service_->engine_->usual_answer_;
+    }
+    if (current.facts_.answer_limit_)
+    {
+        work.answer_left_ = std::min(work.answer_left_, *current.facts_.answer_limit_);
+    }
+    work.priority_ = current.priority_;
+    work.target_ = current.route_->latency_target_;
+    work.arrived_ = current.arrived_;
+    work.value_ = value_of(work.prompt_, work.answer_left_);
+    return work;
+}
+
+/// Puts the request into the load that VMs tell one another, for as long as it lives.
+class load_entry
+{
+  public:
+    load_entry(gateway_state& state, server_id server, engine_work work)
+        : state_(state), server_(std::move(server)), key_(work.key_)
+    {
+        add_work(state_.load_.engines_[server_], work);
+        state_.own_work_.push_back({server_, work});
+        state_.on_load_changed_();
+    }
+    load_entry(const load_entry&) = delete;
+    load_entry& operator=(const load_entry&) = delete;
+    load_entry(load_entry&&) = delete;
+    load_entry& operator=(load_entry&&) = delete;
+    ~load_entry()
+    {
+        remove_work(state_.load_.engines_[server_], key_);
+        std::erase_if(state_.own_work_, [this](const reported_work& entry) { return entry.work_.key_ == key_; });
+        state_.on_load_changed_();
+    }
+
+  private:
+    gateway_state& state_;
+    server_id server_;
+    running_key key_;
+};
+
+server_choice choose(exchange& current, const engine_work& work, time_point now)
+{
+    auto& state = current.state_;
+    const choice_request wanted{current.service_->id_, work, state.settings_.data_centre_, current.tried_,
+                                state.random_()};
+    return choose_server(state.directory_, state.load_, *current.service_, wanted, now);
+}
+
+void log_choice(const exchange& current, const server_choice& choice)
+{
+    log_event(severity::info, sent, "a server was chosen",
+              {{"request", current.facts_.id_.get()},
+               {"server", choice.server_->listed_.id_.get()},
+               {"send", std::to_string(current.sends_)},
+               {"considered", std::to_string(choice.considered_)},
+               {"first_token_ms", text_of(choice.forecast_.first_token_)},
+               {"fits", choice.forecast_.fits_ ? "1" : "0"}});
+}
+
+void learn_from(exchange& current, const server_id& id, send_end end)
+{
+    const auto found = current.state_.directory_.servers_.find(id);
+    if (found == current.state_.directory_.servers_.end())
+    {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (end == send_end::answered)
+    {
+        note_success(found->second);
+    }
+    else if (end == send_end::may_have_run || end == send_end::server_failed)
+    {
+        note_failure(found->second, now);
+    }
+}
+
+/// Sends the request to servers until one answers or nothing more may be tried.
+task<send_end> try_servers(exchange& current)
+{
+    auto end = send_end::did_not_run;
+    while (true)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= current.deadline_)
+        {
+            co_return send_end::out_of_time;
+        }
+        auto work = work_of(current);
+        const auto choice = choose(current, work, now);
+        if (choice.server_ == nullptr)
+        {
+            co_return end;
+        }
+        if (current.sends_ > 0 && !take_repeat(current.state_.retry_budget_, current.service_->id_, now))
+        {
+            current.state_.metrics_.count("gateway_retries_refused_total", {{"reason", "budget"}});
+            co_return end;
+        }
+        ++current.sends_;
+        const auto server = choice.server_->listed_;
+        current.tried_.push_back(server.id_);
+        log_choice(current, choice);
+        const load_entry running(current.state_, server.id_, work);
+        current.running_ = work.key_;
+        end = co_await send_to_server(current, server, choice.forecast_);
+        current.state_.metrics_.count("gateway_sends_total", {{"end", name_of(end)}});
+        log_event(severity::info, send_ended, name_of(end),
+                  {{"request", current.facts_.id_.get()}, {"server", server.id_.get()}});
+        learn_from(current, server.id_, end);
+        if (end == send_end::answered || end == send_end::broken_off || end == send_end::out_of_time)
+        {
+            co_return end;
+        }
+        if (end != send_end::did_not_run && !may_repeat(current))
+        {
+            co_return end;
+        }
+        if (current.possible_runs_ >= current.route_->max_attempts_ ||
+            current.sends_ >= current.route_->max_attempts_ + extra_sends)
+        {
+            co_return end;
+        }
+    }
+}
+
+/// The answer to a request that no server answered.
+task<> finish_unanswered(exchange& current, send_end end)
+{
+    if (current.head_sent_ || end == send_end::broken_off)
+    {
+        // Part of an answer is out; only the missing end tells the caller that it is not whole.
+        close_now(*current.caller_);
+        current.keep_caller_ = false;
+        co_return;
+    }
+    if (current.failure_)
+    {
+        (void)co_await deliver(current, std::move(*current.failure_));
+        co_return;
+    }
+    if (current.possible_runs_ == 0)
+    {
+        co_await answer_ourselves(current, 503, current.sends_ == 0 ? "no_server_ready" : "servers_refused",
+                                  retry_soon);
+        co_return;
+    }
+    const bool late = end == send_end::out_of_time;
+    co_await answer_ourselves(current, late ? 504 : 502, late ? "time_limit_passed" : "server_lost", std::nullopt);
+}
+
+/// What a request is refused for before a server is looked for.
+struct refusal
+{
+    unsigned status_ = 0;
+    const char* reason_ = "";
+    std::optional<milliseconds> retry_after_;
+};
+
+std::optional<refusal> admit(exchange& current)
+{
+    auto& state = current.state_;
+    if (!current.table_ || !state.servers_listed_)
+    {
+        return refusal{503, "no_configuration", retry_later};
+    }
+    current.route_ = find_route(*current.table_, current.facts_.host_, current.facts_.path_);
+    if (current.route_ == nullptr)
+    {
+        return refusal{404, "no_route", std::nullopt};
+    }
+    const auto key = check_key(*current.table_, *current.route_, current.facts_.key_);
+    if (key.standing_ != key_standing::not_needed && !keys_are_fresh(state))
+    {
+        return refusal{503, "keys_not_confirmed", retry_later};
+    }
+    if (key.standing_ == key_standing::unknown)
+    {
+        return refusal{401, "unknown_key", std::nullopt};
+    }
+    current.priority_ = current.route_->priority_;
+    if (key.organisation_ != nullptr)
+    {
+        current.organisation_ = key.organisation_->id_;
+        current.priority_ = key.organisation_->priority_.value_or(current.priority_);
+    }
+    const double draw = std::uniform_real_distribution<double>(0.0, 1.0)(state.random_);
+    const auto* const service = pick_service(*current.route_, draw);
+    const auto described =
+        service == nullptr ? current.table_->services_.end() : current.table_->services_.find(*service);
+    if (described == current.table_->services_.end())
+    {
+        return refusal{503, "no_service", retry_later};
+    }
+    current.service_ = &described->second;
+    return std::nullopt;
+}
+
+void set_deadline(exchange& current)
+{
+    auto limit = current.route_->timeout_;
+    if (current.facts_.time_left_)
+    {
+        limit = std::min(limit, *current.facts_.time_left_);
+    }
+    current.deadline_ = current.arrived_ + limit;
+}
+
+void log_served(const exchange& current, send_end end)
+{
+    const auto took = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - current.arrived_);
+    current.state_.metrics_.observe("gateway_request_ms", {{"end", name_of(end)}}, static_cast<double>(took.count()));
+    log_event(severity::info, served, name_of(end),
+              {{"request", current.facts_.id_.get()},
+               {"status", std::to_string(current.answer_status_)},
+               {"sends", std::to_string(current.sends_)},
+               {"took_ms", text_of(took)},
+               {"version", std::to_string(current.table_->version_.get())}});
+}
+
+/// Counts open requests, which a stop waits for.
+class open_request
+{
+  public:
+    explicit open_request(gateway_state& state) : state_(state)
+    {
+        ++state_.open_requests_;
+    }
+    open_request(const open_request&) = delete;
+    open_request& operator=(const open_request&) = delete;
+    open_request(open_request&&) = delete;
+    open_request& operator=(open_request&&) = delete;
+    ~open_request()
+    {
+        --state_.open_requests_;
+    }
+
+  private:
+    gateway_state& state_;
+};
+
+void stop_watching(exchange& current)
+{
+    boost::system::error_code ignored;  // a socket that is closed has nothing to cancel
+    current.caller_->socket_.cancel(ignored);
+}
+
+}  // namespace
+
+bool may_repeat(const exchange& current)
+{
+    return current.route_->kind_ == request_kind::idempotent ||
+           (current.route_->kind_ == request_kind::streaming && current.route_->resumable_);
+}
+
+milliseconds time_left(const exchange& current)
+{
+    return remaining_until(current.deadline_, std::chrono::steady_clock::now());
+}
+
+void watch_caller(exchange& current)
+{
+    current.watch_ = std::make_shared<caller_watch>();
+    current.caller_->socket_.async_wait(
+        tcp::socket::wait_read,
+        [watch = current.watch_, weak = std::weak_ptr(current.caller_)](const boost::system::error_code& cancelled) {
+            const auto caller = weak.lock();
+            if (cancelled || !caller || !caller->socket_.is_open())
+            {
+                return;
+            }
+            char byte = 0;
+            boost::system::error_code failed;
+            const auto peeked =
+                caller->socket_.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, failed);
+            // Bytes of a pipelined request say that the caller is still there.
+            if (!failed && peeked > 0)
+            {
+                return;
+            }
+            watch->left_ = true;
+            if (const auto active = watch->active_.lock())
+            {
+                close_now(*active);
+            }
+        });
+}
+
+task<> answer_ourselves(exchange& current, unsigned status, std::string reason, std::optional<milliseconds> retry_after)
+{
+    http_response answer(static_cast<http::status>(status), 11);
+    answer.set(http::field::content_type, "application/json");
+    if (retry_after)
+    {
+        std::string seconds = std::to_string(static_cast<double>(retry_after->count()) / 1000.0);
+        answer.set(http::field::retry_after, seconds);
+    }
+    current.state_.protocol_.write_own_fields_(current.facts_, answer);
+    answer.body() = "{\"error\":\"" + reason + "\"}";
+    current.state_.metrics_.count("gateway_refusals_total", {{"reason", reason}});
+    log_event(severity::info, refused, reason,
+              {{"request", current.facts_.id_.get()},
+               {"status", std::to_string(status)},
+               {"sends", std::to_string(current.sends_)},
+               {"possible_runs", std::to_string(current.possible_runs_)},
+               {"version", current.table_ ? std::to_string(current.table_->version_.get()) : "none"}});
+    (void)co_await deliver(current, std::move(answer));
+}
+
+task<send_end> deliver(exchange& current, http_response answer)
+{
+    answer.version(11);
+    answer.keep_alive(current.keep_caller_);
+    // A body's length is already stated where the answer to HEAD has none.
+    if (current.request_.method() != http::verb::head)
+    {
+        answer.prepare_payload();
+    }
+    current.answer_status_ = answer.result_int();
+    limit_until(*current.caller_, current.deadline_ + std::chrono::seconds{1});
+    boost::system::error_code failed;
+    current.head_sent_ = true;
+    co_await http::async_write(current.caller_->socket_, answer, redirect_error(use_awaitable, failed));
+    remove_limit(*current.caller_);
+    current.keep_caller_ = current.keep_caller_ && !failed;
+    co_return failed ? send_end::broken_off : send_end::answered;
+}
+
+task<bool> serve_request(gateway_state& state, std::shared_ptr<caller_socket> caller, http_request request,
+                         time_point arrived)
+{
+    const open_request open(state);
+    exchange current(state, caller, std::move(request));
+    current.facts_ = state.protocol_.read_request_(current.request_);
+    current.table_ = state.table_;
+    current.arrived_ = arrived;
+    current.keep_caller_ = current.request_.keep_alive() && !state.stopping_;
+    current.deadline_ = arrived + std::chrono::seconds{10};
+    const auto refused_for = admit(current);
+    if (refused_for)
+    {
+        co_await answer_ourselves(current, refused_for->status_, refused_for->reason_, refused_for->retry_after_);
+        co_return current.keep_caller_;
+    }
+    set_deadline(current);
+    note_request(state.retry_budget_, current.service_->id_, std::chrono::steady_clock::now());
+    watch_caller(current);
+    const auto end = co_await try_servers(current);
+    if (current.watch_->left_)
+    {
+        close_now(*caller);
+        current.keep_caller_ = false;
+    }
+    else if (end != send_end::answered)
+    {
+        co_await finish_unanswered(current, end);
+    }
+    stop_watching(current);
+    log_served(current, current.watch_->left_ ? send_end::broken_off : end);
+    co_return current.keep_caller_ && !state.stopping_;
+}
+
+}  // namespace cornelstall
--- a/packages/wire/include/cornelstall/wire.hpp
+++ b/packages/wire/include/cornelstall/wire.hpp
@@ -4,6 +4,7 @@
 /// Encodings of what cornelstall exchanges with other systems and keeps in the log. Nothing here decides anything.
 
 #include "cornelstall/wire/connection/engine_messages.hpp"
+#include "cornelstall/wire/connection/load_codec.hpp"
 #include "cornelstall/wire/connection/peer_codec.hpp"
 #include "cornelstall/wire/connection/peer_messages.hpp"
 #include "cornelstall/wire/process/claims_codec.hpp"
--- /dev/null
+++ b/packages/wire/include/cornelstall/wire/connection/load_codec.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cornelstall/decisions.hpp"
+
+namespace cornelstall
+{
+
+/// @brief Encodes @a report as one datagram. Work beyond @a limit bytes is left out, the last entries first.
+[[nodiscard]] std::string encode_load_report(const load_report& report, byte_count limit, time_point now);
+
+/// @brief Decodes a datagram; nothing when it is malformed.
+[[nodiscard]] std::optional<load_report> decode_load_report(std::string_view bytes, time_point now);
+
+}  // namespace cornelstall
--- /dev/null
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -0,0 +1,107 @@
+#include "cornelstall/wire/connection/load_codec.hpp"
+
+#include <algorithm>
+#include <unordered_map>
+
+#include "load.pb.h"
+
+namespace cornelstall
+{
+
+namespace
+{
+
+/// Encoded size of one entry at most; keeps a report within one datagram without encoding it twice.
+constexpr std::size_t entry_bytes = 36;
+
+std::uint32_t index_of(load::LoadReport& message, std::unordered_map<server_id, std::uint32_t>& indexes,
+                       const server_id& server)
+{
+    const auto [found, inserted] = indexes.try_emplace(server, static_cast<std::uint32_t>(indexes.size()));
+    if (inserted)
+    {
+        message.add_servers(server.get());
+    }
+    return found->second;
+}
+
+void encode_work(load::Work& message, const engine_work& work, time_point now)
+{
+    message.set_key(work.key_.get());
+    message.set_prompt_tokens(static_cast<std::uint32_t>(work.prompt_.get()));
+    message.set_answer_tokens_left(static_cast<std::uint32_t>(std::max<std::int64_t>(0, work.answer_left_.get())));
+    message.set_generating(work.generating_);
+    message.set_priority(static_cast<std::uint32_t>(std::max(0, work.priority_)));
+    message.set_target_ms(static_cast<std::uint32_t>(work.target_.count()));
+    message.set_age_ms(static_cast<std::uint32_t>(
+        std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(now - work.arrived_).count())));
+}
+
+engine_work decode_work(const load::Work& message, time_point now)
+{
+    engine_work work;
+    work.key_ = running_key{message.key()};
+    work.prompt_ = token_count{message.prompt_tokens()};
+    work.unread_ = message.generating() ? token_count{0} : work.prompt_;
+    work.answer_left_ = token_count{message.answer_tokens_left()};
+    work.generating_ = message.generating();
+    work.priority_ = static_cast<int>(message.priority());
+    work.target_ = milliseconds{std::max<std::uint32_t>(1, message.target_ms())};
+    work.arrived_ = now - milliseconds{message.age_ms()};
+    work.value_ = value_of(work.prompt_, work.answer_left_);
+    return work;
+}
+
+}  // namespace
+
+std::string encode_load_report(const load_report& report, byte_count limit, time_point now)
+{
+    load::LoadReport message;
+    message.set_vm(report.vm_.get());
+    message.set_incarnation(report.incarnation_.get());
+    message.set_sequence(report.sequence_);
+    message.set_address(report.address_.get());
+    message.set_configuration_version(report.version_.get());
+    message.set_leaving(report.leaving_);
+    std::unordered_map<server_id, std::uint32_t> indexes;
+    std::size_t bytes = message.ByteSizeLong();
+    for (const auto& entry : report.work_)
+    {
+        bytes += entry_bytes + (indexes.contains(entry.server_) ? 0 : entry.server_.get().size() + 2);
+        if (bytes > limit.get())
+        {
+            break;
+        }
+        const auto server = index_of(message, indexes, entry.server_);
+        auto& work = *message.add_work();
+        work.set_server(server);
+        encode_work(work, entry.work_, now);
+    }
+    return message.SerializeAsString();
+}
+
+std::optional<load_report> decode_load_report(std::string_view bytes, time_point now)
+{
+    load::LoadReport message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || message.vm().empty())
+    {
+        return std::nullopt;
+    }
+    load_report report;
+    report.vm_ = vm_id{message.vm()};
+    report.incarnation_ = incarnation{message.incarnation()};
+    report.sequence_ = message.sequence();
+    report.address_ = socket_address{message.address()};
+    report.version_ = configuration_version{message.configuration_version()};
+    report.leaving_ = message.leaving();
+    std::ranges::for_each(message.work(), [&](const load::Work& work) {
+        if (work.server() < static_cast<std::uint32_t>(message.servers_size()))
+        {
+            report.work_.push_back(
+                {server_id{message.servers(static_cast<int>(work.server()))}, decode_work(work, now)});
+        }
+    });
+    return report;
+}
+
+}  // namespace cornelstall
