Begin the simulation of an engine with its first request

Cause: an engine without work kept the epoch as the instant of its simulation, so the first choice after a report of another VM simulated the engine for the machine's whole uptime; a process stood still for up to ten seconds. Ruled out with log lines between the steps: accepting, reading, timers, and a blocking peek (which is now impossible as well). Plain answers were lost because Beast 1.74 takes an unset body limit for a limit of zero when the answer has a length.

--- a/packages/decisions/include/cornelstall/decisions/process/engine_schedule.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/engine_schedule.hpp
@@ -47,8 +47,8 @@
 /// @param pace measured time over predicted time; above 1 is a slow engine
 void advance(engine_schedule& load, const engine_profile& profile, double pace, time_point now);
 
-/// @brief Adds @a added to @a load, which has been advanced to the present.
-void add_work(engine_schedule& load, engine_work added);
+/// @brief Adds @a added, which the engine gets at @a now. The simulation of an engine that was empty begins then.
+void add_work(engine_schedule& load, engine_work added, time_point now);
 
 /// @brief Notes that the engine generates for the request named @a key.
 void note_first_token(engine_schedule& load, running_key key);
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -36,12 +36,12 @@
     });
 }
 
-void merge(fleet_load& load, const reported_work& entry)
+void merge(fleet_load& load, const reported_work& entry, time_point now)
 {
     engine_work* const known = find_work(load, entry);
     if (known == nullptr)
     {
-        add_work(load.engines_[entry.server_], entry.work_);
+        add_work(load.engines_[entry.server_], entry.work_, now);
         return;
     }
     if (entry.work_.generating_)
@@ -67,7 +67,7 @@
             remove_reported(load, before);
         }
     });
-    std::ranges::for_each(report.work_, [&load](const reported_work& entry) { merge(load, entry); });
+    std::ranges::for_each(report.work_, [&](const reported_work& entry) { merge(load, entry, now); });
     peer = load_peer{report.address_, report.incarnation_, report.sequence_, now, report.work_, report.version_};
     if (report.leaving_ && report.work_.empty())
     {
--- a/packages/decisions/src/process/engine_schedule.cpp
+++ b/packages/decisions/src/process/engine_schedule.cpp
@@ -174,8 +174,12 @@
     }
 }
 
-void add_work(engine_schedule& load, engine_work added)
+void add_work(engine_schedule& load, engine_work added, time_point now)
 {
+    if (load.work_.empty())
+    {
+        load.simulated_until_ = now;
+    }
     load.work_.push_back(added);
 }
 
--- a/packages/gateway/include/cornelstall/gateway/connection/caller_socket.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/caller_socket.hpp
@@ -33,6 +33,9 @@
 /// @brief Closes the socket at once; errors of a socket that is closed already do not matter.
 void close_now(limited_socket& connection);
 
+/// @brief True when the peer has closed or reset the connection; does not wait and takes no data.
+[[nodiscard]] bool peer_has_closed(limited_socket& connection);
+
 /// @brief Makes silent peers visible: keep-alive probes and a bound on unacknowledged data.
 void watch_for_silence(boost::asio::ip::tcp::socket& socket);
 
--- a/packages/gateway/src/connection/limited_socket.cpp
+++ b/packages/gateway/src/connection/limited_socket.cpp
@@ -32,6 +32,21 @@
 
 limited_socket::limited_socket(tcp::socket socket) : socket_(std::move(socket)), limit_(socket_.get_executor()) {}
 
+bool peer_has_closed(limited_socket& connection)
+{
+    char byte = 0;
+    boost::system::error_code failed;
+    // Readiness may be reported without data, and a blocking read would then stop the whole process.
+    connection.socket_.non_blocking(true, failed);
+    const auto peeked =
+        connection.socket_.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, failed);
+    if (failed == boost::asio::error::would_block)
+    {
+        return false;
+    }
+    return failed || peeked == 0;
+}
+
 void limit_until(limited_socket& connection, time_point deadline)
 {
     connection.limit_.expires_at(deadline);
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <limits>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -19,6 +20,7 @@
 using answer_parser = http::response_parser<http::buffer_body>;
 
 constexpr event_kind answer_unusable{2031, "answer_unusable"};
+constexpr event_kind answer_missing{2034, "answer_missing"};
 
 /// Servers are at most a few milliseconds away; a lost opening packet is sent again only after a second.
 constexpr milliseconds connect_limit{300};
@@ -103,6 +105,19 @@
     return end_of_lost_send(current);
 }
 
+send_end end_without_answer(exchange& current, const listed_server& server, const backend_socket& connection,
+                            const boost::system::error_code& failed)
+{
+    const auto end = end_of_lost_send(current);
+    current.state_.metrics_.count("gateway_answers_missing_total", {{"expired", connection.expired_ ? "1" : "0"}});
+    log_event(severity::info, answer_missing, failed.message(),
+              {{"request", current.facts_.id_.get()},
+               {"server", server.id_.get()},
+               {"expired", connection.expired_ ? "1" : "0"},
+               {"caller_left", current.watch_->left_ ? "1" : "0"}});
+    return end;
+}
+
 /// Reads the body of an answer to its end.
 /// @return nothing when the answer is not whole
 task<std::optional<std::string>> read_body(std::shared_ptr<backend_socket> server, answer_parser& parser)
@@ -256,7 +271,7 @@
     limit_until(*connection, first_byte_deadline(current, forecast));
     const auto sent = start_writing(connection, message_for(current, server));
     answer_parser parser;
-    parser.body_limit(boost::none);
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     parser.skip(current.request_.method() == http::verb::head);
     boost::system::error_code failed;
     co_await http::async_read_header(connection->socket_, connection->buffer_, parser,
@@ -264,7 +279,7 @@
     auto end = send_end::may_have_run;
     if (failed)
     {
-        end = end_of_lost_send(current);
+        end = end_without_answer(current, server, *connection, failed);
     }
     else
     {
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -70,7 +70,7 @@
     load_entry(gateway_state& state, server_id server, engine_work work)
         : state_(state), server_(std::move(server)), key_(work.key_)
     {
-        add_work(state_.load_.engines_[server_], work);
+        add_work(state_.load_.engines_[server_], work, std::chrono::steady_clock::now());
         state_.own_work_.push_back({server_, work});
         state_.on_load_changed_();
     }
@@ -313,21 +313,16 @@
 
 void watch_caller(exchange& current)
 {
-    current.watch_ = std::make_shared<caller_watch>();
+    if (!current.watch_)
+    {
+        current.watch_ = std::make_shared<caller_watch>();
+    }
     current.caller_->socket_.async_wait(
         tcp::socket::wait_read,
         [watch = current.watch_, weak = std::weak_ptr(current.caller_)](const boost::system::error_code& cancelled) {
             const auto caller = weak.lock();
-            if (cancelled || !caller || !caller->socket_.is_open())
-            {
-                return;
-            }
-            char byte = 0;
-            boost::system::error_code failed;
-            const auto peeked =
-                caller->socket_.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, failed);
             // Bytes of a pipelined request say that the caller is still there.
-            if (!failed && peeked > 0)
+            if (cancelled || !caller || !caller->socket_.is_open() || !peer_has_closed(*caller))
             {
                 return;
             }
