Model a pass of an engine as its steps and count long passes against streams

Cause: streams on an engine that reads a long prompt pause for up to two seconds: a pass with requests that generate makes 34 steps, and each step reads a chunk, not each pass.

--- a/packages/decisions/include/cornelstall/decisions/process/engine_schedule.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/engine_schedule.hpp
@@ -29,7 +29,10 @@
     bool generating_ = false;     ///< the first token has been seen
     int priority_ = 0;            ///< 0 is the most urgent
     milliseconds target_{1000};   ///< goal for the first token, from the arrival of the request
+    milliseconds max_gap_{1000};  ///< longest pause between events of an answer that is in time
+    bool late_ = false;           ///< its goal or a pause has been missed already
     time_point arrived_;          ///< arrival of the request at its VM
+    time_point sent_at_;          ///< the engine takes it up in a pass that begins after this
     double value_ = 1.0;          ///< weight of this request against others
 };
 
--- a/packages/decisions/include/cornelstall/decisions/process/shared_retry_budget.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/shared_retry_budget.hpp
@@ -36,6 +36,9 @@
 /// @brief Notes a request of a caller for @a service.
 void note_request(shared_retry_budget& budget, const service_id& service, time_point now);
 
+/// @brief True when take_repeat() would succeed.
+[[nodiscard]] bool has_repeat(shared_retry_budget& budget, const service_id& service, time_point now);
+
 /// @brief Takes one repeat for @a service from the budget.
 /// @return false when the budget is used up; the request must not be sent again
 [[nodiscard]] bool take_repeat(shared_retry_budget& budget, const service_id& service, time_point now);
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -44,6 +44,7 @@
         add_work(load.engines_[entry.server_], entry.work_, now);
         return;
     }
+    known->late_ = entry.work_.late_;
     if (entry.work_.generating_)
     {
         note_first_token(load.engines_[entry.server_], entry.work_.key_);
--- a/packages/decisions/src/process/engine_schedule.cpp
+++ b/packages/decisions/src/process/engine_schedule.cpp
@@ -20,13 +20,24 @@
 /// Part of a request's value that is left once its goal is missed, falling further with the delay.
 constexpr double late_value = 0.2;
 /// A forecast ends here: no goal is longer, and an engine that needs more is the wrong one anyway.
-constexpr double longest_forecast_ms = 60000.0;
+constexpr std::chrono::seconds longest_forecast{60};
+/// Losses below this chance are not counted; they would add up over the passes of a long read.
+constexpr double least_loss = 0.1;
+/// A request that has probably lost this part of its value to a pause is late from then on.
+constexpr double certain_loss = 0.3;
 /// Share of a prompt that counts as unread while the engine has not shown a first token.
 constexpr std::int64_t least_unread_tokens = 256;
 
 using float_ms = std::chrono::duration<double, std::milli>;
 
-/// The part of a pass that generates, without reading.
+/// One pass of an engine: the requests that generate make `steps_per_pass` steps, and each step reads a chunk.
+struct pass
+{
+    double length_ms_ = 0.0;
+    std::vector<running_key> finished_reads_;
+};
+
+/// The steps of a pass that generates, without reading.
 double generation_ms(const std::vector<engine_work>& work, const engine_profile& profile)
 {
     std::int64_t context = 0;
@@ -52,44 +63,55 @@
     return chunk / profile.read_tokens_per_ms_ + profile.read_ms_per_million_pairs_ * pairs / 1e6;
 }
 
-/// The request whose prompt is read next: the most urgent one, then the one that came first.
-engine_work* next_reader(std::vector<engine_work>& work)
+/// The request whose prompt is read next in a pass that began at @a start: the most urgent one, then the first one.
+engine_work* next_reader(std::vector<engine_work>& work, time_point start)
 {
-    auto readers = work | std::views::filter([](const engine_work& request) { return !request.generating_; });
+    auto readers = work | std::views::filter([start](const engine_work& request) {
+                       return !request.generating_ && request.unread_.get() > 0 && request.sent_at_ <= start;
+                   });
     const auto found = std::ranges::min_element(readers, {}, &engine_work::priority_);
     return found == std::ranges::end(readers) ? nullptr : &*found;
 }
 
 /// Makes one pass over @a work.
-/// @param finish called with each request whose prompt is read to its end, and the time since the start of the pass
-/// @return the length of the pass
-template <class Finish>
-double make_pass(std::vector<engine_work>& work, const engine_profile& profile, double pace, Finish finish)
+pass make_pass(std::vector<engine_work>& work, const engine_profile& profile, double pace, time_point start)
 {
-    double length = generation_ms(work, profile);
+    pass made;
+    made.length_ms_ = generation_ms(work, profile);
+    const bool generates = made.length_ms_ > 0.0;
     std::ranges::for_each(work | std::views::filter(&engine_work::generating_),
                           [&](engine_work& request) { request.answer_left_ -= token_count{profile.steps_per_pass_}; });
-    std::int64_t room = profile.read_chunk_tokens_;
+    std::int64_t room =
+        static_cast<std::int64_t>(profile.read_chunk_tokens_) * (generates ? profile.steps_per_pass_ : 1);
     while (room > 0)
     {
-        engine_work* const reader = next_reader(work);
+        engine_work* const reader = next_reader(work, start);
         if (reader == nullptr)
         {
             break;
         }
         const auto tokens = std::min(room, reader->unread_.get());
-        length += reading_ms(*reader, tokens, profile);
+        made.length_ms_ += reading_ms(*reader, tokens, profile);
         reader->unread_ -= token_count{tokens};
         room -= tokens;
         if (reader->unread_.get() <= 0)
         {
-            reader->generating_ = true;
-            finish(*reader, length * pace);
+            made.finished_reads_.push_back(reader->key_);
         }
     }
-    std::erase_if(work,
-                  [](const engine_work& request) { return request.generating_ && request.answer_left_.get() <= 0; });
-    return length * pace;
+    made.length_ms_ *= pace;
+    return made;
+}
+
+/// Requests whose prompt was read to the end in @a made generate from the next pass on.
+void begin_answers(std::vector<engine_work>& work, const pass& made)
+{
+    std::ranges::for_each(work, [&made](engine_work& request) {
+        if (std::ranges::find(made.finished_reads_, request.key_) != made.finished_reads_.end())
+        {
+            request.generating_ = true;
+        }
+    });
 }
 
 /// Expected value of a request whose first token comes @a after its arrival.
@@ -101,30 +123,74 @@
     return request.value_ * (in_time + (1.0 - in_time) * late);
 }
 
-struct simulated_reads
+/// The simulation of an engine's future for a forecast.
+struct future
 {
-    double value_ = 0.0;             ///< of all requests whose prompt was still to be read
-    double candidate_first_ms_ = 0;  ///< until the first token of the candidate
+    std::vector<engine_work> work_;
+    time_point start_;    ///< of the next pass
+    double value_ = 0.0;  ///< expected of the requests whose first token has come in the simulation
+    double lost_ = 0.0;   ///< value of answers that a long pass makes late
+    double candidate_ms_ = 0.0;
 };
 
-simulated_reads simulate_reads(std::vector<engine_work> work, const engine_profile& profile, double pace,
-                               running_key candidate, time_point now)
+/// Part of a request's value that is lost when its events are @a length_ms apart.
+double pause_loss(const engine_work& request, double length_ms)
+{
+    if (request.late_)
+    {
+        return 0.0;
+    }
+    const auto limit = static_cast<double>(request.max_gap_.count());
+    const double late = 1.0 / (1.0 + std::exp((limit - length_ms) / (goal_spread * limit)));
+    return late < least_loss ? 0.0 : request.value_ * late * (1.0 - late_value);
+}
+
+/// Advances @a ahead by one pass and counts what it brings and costs.
+void simulate_pass(future& ahead, const engine_profile& profile, double pace, running_key candidate, time_point now)
 {
-    simulated_reads result;
-    double elapsed = 0.0;
-    const auto read_to_the_end = [&](const engine_work& request, double at) {
-        const double waited = std::chrono::duration_cast<float_ms>(now - request.arrived_).count();
-        result.value_ += expected_value(request, waited + elapsed + at);
-        if (request.key_ == candidate)
+    const auto made = make_pass(ahead.work_, profile, pace, ahead.start_);
+    const auto end = ahead.start_ + std::chrono::duration_cast<time_point::duration>(float_ms(made.length_ms_));
+    std::ranges::for_each(ahead.work_ | std::views::filter(&engine_work::generating_), [&](engine_work& request) {
+        const double loss = pause_loss(request, made.length_ms_);
+        ahead.lost_ += loss;
+        request.late_ = request.late_ || loss > request.value_ * certain_loss;
+    });
+    begin_answers(ahead.work_, made);
+    std::ranges::for_each(made.finished_reads_, [&](running_key key) {
+        const auto read = std::ranges::find(ahead.work_, key, &engine_work::key_);
+        const double after = std::chrono::duration_cast<float_ms>(end - read->arrived_).count();
+        ahead.value_ += expected_value(*read, after);
+        if (key == candidate)
         {
-            result.candidate_first_ms_ = elapsed + at;
+            ahead.candidate_ms_ = std::chrono::duration_cast<float_ms>(end - now).count();
         }
-    };
-    while (elapsed < longest_forecast_ms && next_reader(work) != nullptr)
+    });
+    std::erase_if(ahead.work_,
+                  [](const engine_work& request) { return request.generating_ && request.answer_left_.get() <= 0; });
+    ahead.start_ = end;
+}
+
+bool is_reading(const engine_work& request)
+{
+    return !request.generating_ && request.unread_.get() > 0;
+}
+
+/// Simulates until all prompts are read.
+void simulate_reads(future& ahead, const engine_profile& profile, double pace, running_key candidate, time_point now)
+{
+    const auto horizon = now + longest_forecast;
+    while (ahead.start_ < horizon && std::ranges::any_of(ahead.work_, is_reading))
     {
-        elapsed += make_pass(work, profile, pace, read_to_the_end);
+        const auto before = ahead.start_;
+        simulate_pass(ahead, profile, pace, candidate, now);
+        if (ahead.start_ == before)
+        {
+            // Nothing that is there now can be read yet, so the pass begins with the next arrival.
+            ahead.start_ = now;
+            std::ranges::for_each(ahead.work_,
+                                  [now](engine_work& request) { request.sent_at_ = std::min(request.sent_at_, now); });
+        }
     }
-    return result;
 }
 
 }  // namespace
@@ -137,38 +203,28 @@
 
 void advance(engine_schedule& load, const engine_profile& profile, double pace, time_point now)
 {
-    const double goal = std::chrono::duration_cast<float_ms>(now - load.simulated_until_).count();
-    double elapsed = 0.0;
-    // VMs remove requests when they see them end, so the simulation only moves them forward.
-    std::ranges::for_each(load.work_, [&](engine_work& request) {
-        request.answer_left_ = std::max(request.answer_left_, token_count{profile.steps_per_pass_ + 1});
-    });
-    while (elapsed < goal && !load.work_.empty())
+    while (!load.work_.empty())
     {
         auto next = load.work_;
-        const double length = make_pass(next, profile, pace, [](const engine_work&, double) {});
-        if (elapsed + length > goal || length <= 0.0)
+        const auto made = make_pass(next, profile, pace, load.simulated_until_);
+        const auto end =
+            load.simulated_until_ + std::chrono::duration_cast<time_point::duration>(float_ms(made.length_ms_));
+        if (end > now || made.length_ms_ <= 0.0)
         {
             break;
         }
-        std::ranges::for_each(load.work_, [&next](engine_work& request) {
-            const auto after = std::ranges::find(next, request.key_, &engine_work::key_);
-            if (after == next.end())
-            {
-                request.answer_left_ = token_count{1};
-                return;
-            }
-            request.answer_left_ = after->answer_left_;
-            if (!request.generating_)
-            {
-                request.unread_ =
-                    std::max(after->unread_, token_count{std::min(least_unread_tokens, request.prompt_.get())});
-            }
+        // VMs see when a read or an answer ends, so the simulation only brings requests close to their end.
+        std::ranges::transform(next, load.work_, load.work_.begin(), [&](engine_work after, const engine_work& before) {
+            const token_count least{std::min(least_unread_tokens, before.prompt_.get())};
+            after.unread_ = before.generating_ ? token_count{0} : std::max(after.unread_, least);
+            after.answer_left_ = std::max(after.answer_left_, token_count{1});
+            return after;
         });
-        elapsed += length;
-        load.simulated_until_ += std::chrono::duration_cast<time_point::duration>(float_ms(length));
+        load.simulated_until_ = end;
     }
-    if (load.work_.empty())
+    if (load.work_.empty() || std::ranges::all_of(load.work_, [&load](const engine_work& request) {
+            return request.sent_at_ > load.simulated_until_;
+        }))
     {
         load.simulated_until_ = now;
     }
@@ -205,13 +261,21 @@
         return sum + request.prompt_.get() + request.answer_left_.get();
     };
     const auto used = std::accumulate(load.work_.begin(), load.work_.end(), std::int64_t{0}, tokens);
-    auto work = load.work_;
-    const auto before = simulate_reads(work, profile, pace, candidate.key_, now);
-    work.push_back(candidate);
-    const auto after = simulate_reads(std::move(work), profile, pace, candidate.key_, now);
+    future without{load.work_, load.simulated_until_};
+    if (!without.work_.empty())
+    {
+        // The candidate comes too late for the pass that is under way.
+        simulate_pass(without, profile, pace, candidate.key_, now);
+    }
+    without.start_ = std::max(without.start_, now);
+    future with = without;
+    with.work_.push_back(candidate);
+    with.work_.back().sent_at_ = now;
+    simulate_reads(without, profile, pace, candidate.key_, now);
+    simulate_reads(with, profile, pace, candidate.key_, now);
     placement_forecast result;
-    result.first_token_ = milliseconds{static_cast<std::int64_t>(after.candidate_first_ms_)};
-    result.benefit_ = after.value_ - before.value_;
+    result.first_token_ = milliseconds{static_cast<std::int64_t>(with.candidate_ms_)};
+    result.benefit_ = (with.value_ - with.lost_) - (without.value_ - without.lost_);
     result.fits_ =
         static_cast<int>(load.work_.size()) < profile.slots_ && tokens(used, candidate) <= profile.kv_capacity_.get();
     return result;
--- a/packages/decisions/src/process/shared_retry_budget.cpp
+++ b/packages/decisions/src/process/shared_retry_budget.cpp
@@ -25,7 +25,7 @@
     record.requests_.push_back(now);
 }
 
-bool take_repeat(shared_retry_budget& budget, const service_id& service, time_point now)
+bool has_repeat(shared_retry_budget& budget, const service_id& service, time_point now)
 {
     auto& record = budget.services_[service];
     const auto first = now - budget.bound_.window_;
@@ -34,11 +34,16 @@
     const auto& bound = budget.bound_;
     const double share = bound.extra_ / static_cast<double>(std::max<std::size_t>(1, budget.vms_));
     const double allowed = bound.safety_ * (bound.ratio_ * static_cast<double>(record.requests_.size()) + share);
-    if (static_cast<double>(record.repeats_.size()) + 1.0 > allowed)
+    return static_cast<double>(record.repeats_.size()) + 1.0 <= allowed;
+}
+
+bool take_repeat(shared_retry_budget& budget, const service_id& service, time_point now)
+{
+    if (!has_repeat(budget, service, now))
     {
         return false;
     }
-    record.repeats_.push_back(now);
+    budget.services_[service].repeats_.push_back(now);
     return true;
 }
 
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -47,12 +47,15 @@
 
     running_key running_;  ///< the present send in the load that VMs tell one another
     std::vector<server_id> tried_;
-    int sends_ = 0;                            ///< arrivals at backend servers
-    int possible_runs_ = 0;                    ///< sends that may have run
-    bool head_sent_ = false;                   ///< the caller has the head of an answer
-    bool keep_caller_ = true;                  ///< the connection can take another request
-    bool answered_ = false;                    ///< a whole answer, or as much as could be sent
-    std::optional<std::uint64_t> last_event_;  ///< id of the last event that was delivered
+    int sends_ = 0;                                  ///< arrivals at backend servers
+    int possible_runs_ = 0;                          ///< sends that may have run
+    bool head_sent_ = false;                         ///< the caller has the head of an answer
+    bool keep_caller_ = true;                        ///< the connection can take another request
+    bool answered_ = false;                          ///< a whole answer, or as much as could be sent
+    std::optional<std::uint64_t> last_event_;        ///< id of the last event that was delivered
+    std::optional<milliseconds> first_event_after_;  ///< from the arrival to the first event
+    time_point last_event_at_;
+    bool late_ = false;  ///< the first event or a pause has missed its goal
     unsigned answer_status_ = 0;
     std::optional<http_response> failure_;  ///< a server's failure that is delivered when no other server does better
 };
@@ -96,6 +99,10 @@
 /// @brief True when the request may run on more than one server.
 [[nodiscard]] bool may_repeat(const exchange& current);
 
+/// @brief True when a send that has brought nothing may be given up for another one. Otherwise the silence of a server
+/// is no reason to end an answer.
+[[nodiscard]] bool can_give_up_send(const exchange& current);
+
 /// @brief The time that is left for the answer.
 [[nodiscard]] milliseconds time_left(const exchange& current);
 
--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -111,6 +111,22 @@
     co_return !failed;
 }
 
+/// Keeps the time of the first event and whether the answer is still in time.
+void note_event_time(exchange& current)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (!current.first_event_after_)
+    {
+        current.first_event_after_ = std::chrono::duration_cast<milliseconds>(now - current.arrived_);
+        current.late_ = *current.first_event_after_ > current.route_->latency_target_;
+    }
+    else if (now - current.last_event_at_ > current.route_->max_event_gap_)
+    {
+        current.late_ = true;
+    }
+    current.last_event_at_ = now;
+}
+
 void note_generating(exchange& current, const engine_profile& profile, std::size_t events)
 {
     auto& state = current.state_;
@@ -123,6 +139,7 @@
     auto& work = own->work_;
     work.answer_left_ -= token_count{static_cast<std::int64_t>(events) * profile.steps_per_pass_};
     work.unread_ = token_count{0};
+    work.late_ = current.late_;
     if (!work.generating_)
     {
         work.generating_ = true;
@@ -158,7 +175,8 @@
     {
         if (any)
         {
-            limit_until(*server, std::min(current.deadline_, std::chrono::steady_clock::now() + gap));
+            const auto give_up = std::chrono::steady_clock::now() + gap;
+            limit_until(*server, can_give_up_send(current) ? std::min(current.deadline_, give_up) : current.deadline_);
         }
         parser.get().body().data = bytes.data();
         parser.get().body().size = bytes.size();
@@ -178,6 +196,7 @@
             const auto id = last_id(events);
             current.last_event_ = id ? id : current.last_event_;
             any = true;
+            note_event_time(current);
             if (current.service_->engine_)
             {
                 note_generating(current, *current.service_->engine_, 1);
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -29,8 +29,13 @@
 constexpr milliseconds forecast_slack{1500};
 /// Plain calls that may be repeated are given up after this many times their goal.
 constexpr int plain_goals = 4;
-/// A server that is silent in mid-stream for this long is lost; longer than a stall of an engine.
-constexpr milliseconds least_gap_limit{1600};
+/// Callers abandon a stream after a pause of the longest of these: a time, times of its goal, times of its pause.
+constexpr milliseconds caller_patience{2000};
+constexpr int caller_patience_goals = 4;
+constexpr int caller_patience_gaps = 8;
+/// A silent server is left before the caller gives up, and after this long at most.
+constexpr double patience_share = 0.85;
+constexpr milliseconds longest_silence{4000};
 /// Plain answers are kept whole in memory until they are known to be complete.
 constexpr std::size_t largest_plain_answer = 8U * 1024U * 1024U;
 constexpr std::size_t read_bytes = 8192;
@@ -76,7 +81,7 @@
 /// When a send that may be repeated is given up for want of a first byte.
 time_point first_byte_deadline(const exchange& current, const placement_forecast& forecast)
 {
-    if (!may_repeat(current))
+    if (!can_give_up_send(current))
     {
         return current.deadline_;
     }
@@ -86,6 +91,14 @@
     return std::min(current.deadline_, now + patience);
 }
 
+milliseconds silence_limit(const route& matched)
+{
+    const auto patience = std::max({caller_patience, matched.latency_target_ * caller_patience_goals,
+                                    matched.max_event_gap_ * caller_patience_gaps});
+    const milliseconds share{static_cast<std::int64_t>(static_cast<double>(patience.count()) * patience_share)};
+    return std::min(share, longest_silence);
+}
+
 /// What the end of a connection without a usable answer means.
 send_end end_of_lost_send(exchange& current)
 {
@@ -242,8 +255,7 @@
     {
         co_return co_await relay_plain(current, server, connection, parser, answer);
     }
-    const auto gap = std::max(least_gap_limit, current.route_->max_event_gap_ * 2);
-    co_return co_await relay_events(current, connection, parser, gap);
+    co_return co_await relay_events(current, connection, parser, silence_limit(*current.route_));
 }
 
 }  // namespace
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -58,7 +58,10 @@
     }
     work.priority_ = current.priority_;
     work.target_ = current.route_->latency_target_;
+    work.max_gap_ = current.route_->max_event_gap_;
+    work.late_ = current.late_;
     work.arrived_ = current.arrived_;
+    work.sent_at_ = std::chrono::steady_clock::now();
     work.value_ = value_of(work.prompt_, work.answer_left_);
     return work;
 }
@@ -99,6 +102,14 @@
     return choose_server(state.directory_, state.load_, *current.service_, wanted, now);
 }
 
+/// True when another server may be tried after a send that ended with @a end.
+bool may_send_again(const exchange& current, send_end end)
+{
+    return (end == send_end::did_not_run || may_repeat(current)) &&
+           current.possible_runs_ < current.route_->max_attempts_ &&
+           current.sends_ < current.route_->max_attempts_ + extra_sends;
+}
+
 void log_choice(const exchange& current, const server_choice& choice)
 {
     log_event(severity::info, sent, "a server was chosen",
@@ -165,12 +176,7 @@
         {
             co_return end;
         }
-        if (end != send_end::did_not_run && !may_repeat(current))
-        {
-            co_return end;
-        }
-        if (current.possible_runs_ >= current.route_->max_attempts_ ||
-            current.sends_ >= current.route_->max_attempts_ + extra_sends)
+        if (!may_send_again(current, end))
         {
             co_return end;
         }
@@ -268,6 +274,9 @@
                {"status", std::to_string(current.answer_status_)},
                {"sends", std::to_string(current.sends_)},
                {"took_ms", text_of(took)},
+               {"first_ms", current.first_event_after_ ? text_of(*current.first_event_after_) : "none"},
+               {"prompt", std::to_string(current.facts_.prompt_.value_or(token_count{0}).get())},
+               {"late", current.late_ ? "1" : "0"},
                {"version", std::to_string(current.table_->version_.get())}});
 }
 
@@ -306,6 +315,12 @@
            (current.route_->kind_ == request_kind::streaming && current.route_->resumable_);
 }
 
+bool can_give_up_send(const exchange& current)
+{
+    return may_repeat(current) && current.possible_runs_ + 1 < current.route_->max_attempts_ &&
+           has_repeat(current.state_.retry_budget_, current.service_->id_, std::chrono::steady_clock::now());
+}
+
 milliseconds time_left(const exchange& current)
 {
     return remaining_until(current.deadline_, std::chrono::steady_clock::now());
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Encoded size of one entry at most; keeps a report within one datagram without encoding it twice.
-constexpr std::size_t entry_bytes = 36;
+constexpr std::size_t entry_bytes = 42;
 
 std::uint32_t index_of(load::LoadReport& message, std::unordered_map<server_id, std::uint32_t>& indexes,
                        const server_id& server)
@@ -33,6 +33,8 @@
     message.set_generating(work.generating_);
     message.set_priority(static_cast<std::uint32_t>(std::max(0, work.priority_)));
     message.set_target_ms(static_cast<std::uint32_t>(work.target_.count()));
+    message.set_max_gap_ms(static_cast<std::uint32_t>(work.max_gap_.count()));
+    message.set_late(work.late_);
     message.set_age_ms(static_cast<std::uint32_t>(
         std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(now - work.arrived_).count())));
 }
@@ -47,7 +49,10 @@
     work.generating_ = message.generating();
     work.priority_ = static_cast<int>(message.priority());
     work.target_ = milliseconds{std::max<std::uint32_t>(1, message.target_ms())};
+    work.max_gap_ = milliseconds{std::max<std::uint32_t>(1, message.max_gap_ms())};
+    work.late_ = message.late();
     work.arrived_ = now - milliseconds{message.age_ms()};
+    work.sent_at_ = now;
     work.value_ = value_of(work.prompt_, work.answer_left_);
     return work;
 }
