Share what one VM reads from the store among all VMs

Each report now carries how old its VM's own reads are and the changes of the list since; a VM reads itself only when what it knows gets too old, later the higher its rank among live VMs that reach the store. Weighed: elected readers (a dead reader would be noticed too late for the bounds on configuration and drain), relaying whole configurations (not needed, each VM reads a new version once). Ages from before a standstill of the receiver are ignored.

--- a/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <vector>
 
+#include "cornelstall/decisions/connection/store_news.hpp"
 #include "cornelstall/decisions/request/server_choice.hpp"
 
 namespace cornelstall
@@ -25,6 +26,7 @@
     std::vector<reported_work> work_;
     configuration_version version_;
     bool leaving_ = false;
+    store_news news_;
 };
 
 /// @brief A VM that reports its load.
@@ -36,6 +38,7 @@
     time_point heard_at_;
     std::vector<reported_work> work_;
     configuration_version version_;
+    bool reaches_store_ = false;
 };
 
 /// @brief The other VMs by id.
@@ -51,6 +54,14 @@
 /// @brief Adds a VM whose address is known but that has not reported yet.
 void add_peer(load_peers& peers, const vm_id& id, const socket_address& address, time_point now);
 
+/// @brief The place of this VM among those that live and reach the platform's log, from 0; the order is the same on
+/// all.
+/// @param limit a VM that was silent for this long does not count
+[[nodiscard]] std::size_t reader_rank(const load_peers& peers, const vm_id& self, milliseconds limit, time_point now);
+
+/// @brief The highest version of the routes that another VM has.
+[[nodiscard]] configuration_version newest_version(const load_peers& peers);
+
 /// @brief Drops the load of VMs that were silent for @a limit: their requests have ended with them.
 /// @return the VMs whose load was dropped
 std::vector<vm_id> drop_silent_load(load_peers& peers, fleet_load& load, milliseconds limit, time_point now);
--- /dev/null
+++ b/packages/decisions/include/cornelstall/decisions/connection/store_news.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "cornelstall/decisions/process/server_directory.hpp"
+
+namespace cornelstall
+{
+
+/// @brief One change of the list of servers.
+struct server_change
+{
+    listed_server server_;  ///< only the id counts when the server was removed
+    bool removed_ = false;
+    log_offset at_;  ///< offset of the record
+};
+
+/// @brief What a VM tells others of its own reads of the platform's log.
+struct store_news
+{
+    bool reached_ = false;                   ///< its last read was answered
+    std::optional<milliseconds> table_age_;  ///< since its version of the routes was known to be the newest
+    std::optional<milliseconds> list_age_;   ///< since its list of servers was known to be the newest
+    log_offset list_from_;                   ///< `changes_` are complete from this offset…
+    log_offset list_next_;                   ///< …to before this one
+    std::vector<server_change> changes_;     ///< in the order of their offsets
+};
+
+/// @brief Age of what is known at which the VM of @a rank reads the log itself. VMs of higher rank wait longer, so that
+/// one read serves all while the first ones live.
+[[nodiscard]] milliseconds read_after(std::size_t rank);
+
+/// @brief Leaves out the oldest changes until at most @a most remain; `list_from_` then begins after them.
+void shorten(store_news& news, std::size_t most);
+
+}  // namespace cornelstall
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <ranges>
 
+#include <xxhash.h>
+
 namespace cornelstall
 {
 
@@ -69,7 +71,8 @@
         }
     });
     std::ranges::for_each(report.work_, [&](const reported_work& entry) { merge(load, entry, now); });
-    peer = load_peer{report.address_, report.incarnation_, report.sequence_, now, report.work_, report.version_};
+    peer = load_peer{report.address_, report.incarnation_, report.sequence_,     now,
+                     report.work_,    report.version_,     report.news_.reached_};
     if (report.leaving_ && report.work_.empty())
     {
         peers.peers_.erase(report.vm_);
@@ -87,6 +90,24 @@
     }
 }
 
+std::size_t reader_rank(const load_peers& peers, const vm_id& self, milliseconds limit, time_point now)
+{
+    const auto place = [](const vm_id& id) {
+        return XXH64(id.get().data(), id.get().size(), 0);
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(peers.peers_, [&](const auto& entry) {
+        return entry.second.reaches_store_ && now - entry.second.heard_at_ < limit && place(entry.first) < place(self);
+    }));
+}
+
+configuration_version newest_version(const load_peers& peers)
+{
+    configuration_version newest;
+    std::ranges::for_each(peers.peers_,
+                          [&newest](const auto& entry) { newest = std::max(newest, entry.second.version_); });
+    return newest;
+}
+
 std::vector<vm_id> drop_silent_load(load_peers& peers, fleet_load& load, milliseconds limit, time_point now)
 {
     std::vector<vm_id> dropped;
--- a/packages/gateway/include/cornelstall/gateway.hpp
+++ b/packages/gateway/include/cornelstall/gateway.hpp
@@ -15,6 +15,7 @@
 #include "cornelstall/gateway/process/gateway_settings.hpp"
 #include "cornelstall/gateway/process/gateway_state.hpp"
 #include "cornelstall/gateway/process/record_log.hpp"
+#include "cornelstall/gateway/process/server_list.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
 #include "cornelstall/gateway/request/protocol.hpp"
 #include "cornelstall/gateway/version/follow_table.hpp"
--- a/packages/gateway/include/cornelstall/gateway/connection/caller_socket.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/caller_socket.hpp
@@ -49,7 +49,7 @@
 void close_idle_callers(gateway_state& state);
 
 /// @brief Listens on @a address, an IP number and a port.
-/// @throws process_error (id 411) when the address cannot be used
+/// @throws process_error (id 420) when the address cannot be used
 [[nodiscard]] boost::asio::ip::tcp::acceptor listen_on(const executor& where, const std::string& address);
 
 }  // namespace cornelstall
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -7,6 +7,7 @@
 
 #include "cornelstall/gateway/connection/caller_socket.hpp"
 #include "cornelstall/gateway/process/gateway_settings.hpp"
+#include "cornelstall/gateway/process/server_list.hpp"
 #include "cornelstall/gateway/request/protocol.hpp"
 #include "cornelstall/runtime/process/log_event.hpp"
 #include "cornelstall/runtime/process/metrics.hpp"
@@ -28,7 +29,9 @@
 
     std::shared_ptr<const routing_table> table_;      ///< null until the first configuration is known
     std::chrono::nanoseconds table_confirmed_at_{0};  ///< boot time at which the table was known to be the newest
-    bool servers_listed_ = false;                     ///< the list of servers has been read once
+    std::chrono::nanoseconds table_read_at_{0};       ///< boot time of this VM's own last read of the configuration
+    bool store_reached_ = false;                      ///< the last read of the list of servers was answered
+    server_list list_;
     server_directory directory_;
     fleet_load load_;
     load_peers peers_;
@@ -39,6 +42,8 @@
     std::vector<reported_work> own_work_;
     std::function<void()> on_load_changed_ = [] {
     };
+    std::chrono::nanoseconds last_report_at_{0};  ///< boot time; a long gap means that this VM stood still
+    std::chrono::nanoseconds distrust_until_{0};  ///< boot time until which datagrams may be from before a standstill
 
     bool stopping_ = false;  ///< SIGTERM arrived
     std::size_t open_requests_ = 0;
--- /dev/null
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chrono>
+#include <deque>
+#include <map>
+
+#include "cornelstall/decisions.hpp"
+
+namespace cornelstall
+{
+
+struct gateway_state;
+
+/// @brief A change of the list that is still told to other VMs.
+struct recent_change
+{
+    time_point seen_at_;
+    server_change change_;
+};
+
+/// @brief How far this VM knows the platform's list of servers.
+struct server_list
+{
+    bool listed_ = false;                       ///< the whole list has been read once
+    log_offset next_;                           ///< offset after the last record that is known
+    std::chrono::nanoseconds confirmed_at_{0};  ///< boot time at which the list was known to be the newest
+    std::chrono::nanoseconds read_at_{0};       ///< boot time of this VM's own last read
+    log_offset changes_from_;                   ///< `changes_` are complete from here to `next_`
+    std::deque<recent_change> changes_;
+    time_point lapse_until_;                  ///< removals until then may be lapses
+    std::map<server_id, log_offset> lapsed_;  ///< removals that are not believed yet
+};
+
+/// @brief Applies one change that was read or heard.
+void apply_change(gateway_state& state, server_change change);
+
+/// @brief Removes the servers whose entries did not come back after the log's return.
+void confirm_lapses(gateway_state& state);
+
+/// @brief Notes that the list is known up to before @a next, as of @a confirmed_at.
+void confirm_list(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at);
+
+/// @brief What this VM tells others of its reads.
+[[nodiscard]] store_news own_news(gateway_state& state);
+
+/// @brief Takes over what another VM read, as far as it joins what is known here.
+void apply_news(gateway_state& state, const store_news& news, configuration_version version);
+
+/// @brief True when this VM must read the log itself because what it knows was confirmed at @a confirmed_at.
+[[nodiscard]] bool must_read(const gateway_state& state, std::chrono::nanoseconds confirmed_at);
+
+}  // namespace cornelstall
--- a/packages/gateway/src/connection/limited_socket.cpp
+++ b/packages/gateway/src/connection/limited_socket.cpp
@@ -21,7 +21,7 @@
 /// Data that nobody acknowledged for this long ends a connection; longer than a short partition.
 constexpr int unacknowledged_ms = 8000;
 constexpr int listen_backlog = 512;
-constexpr int address_error = 411;
+constexpr int address_error = 420;
 
 using probe_after = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using probe_interval = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -29,6 +29,10 @@
 constexpr milliseconds silence_limit{1500};
 /// A VM that is silent for this long gets no more reports until it is heard again.
 constexpr std::chrono::seconds forget_after{30};
+/// Reports are due more often than this, so a longer gap means that the process stood still.
+constexpr milliseconds standstill{900};
+/// Time to empty the socket's buffer after a standstill.
+constexpr milliseconds drain_time{300};
 /// Fits one Ethernet frame.
 constexpr byte_count datagram_limit{1400};
 constexpr std::size_t largest_datagram = 65536;
@@ -45,6 +49,7 @@
     report.work_ = state.own_work_;
     report.version_ = state.table_ ? state.table_->version_ : configuration_version{};
     report.leaving_ = state.stopping_;
+    report.news_ = own_news(exchange.state_);
     return encode_load_report(report, datagram_limit, now);
 }
 
@@ -76,6 +81,23 @@
     });
 }
 
+/// Notes a standstill of this VM: datagrams that waited meanwhile tell ages that are no longer true.
+void watch_for_standstill(gateway_state& state)
+{
+    const auto now = boot_time();
+    if (now - state.last_report_at_ > standstill)
+    {
+        state.distrust_until_ = now + drain_time;
+    }
+    state.last_report_at_ = now;
+}
+
+bool may_be_old(const gateway_state& state)
+{
+    const auto now = boot_time();
+    return now - state.last_report_at_ > standstill || now < state.distrust_until_;
+}
+
 void take_over(load_exchange& exchange, std::string_view bytes)
 {
     auto& state = exchange.state_;
@@ -87,7 +109,11 @@
         return;
     }
     const bool known = state.peers_.peers_.contains(report->vm_);
-    apply_report(state.peers_, state.load_, *report, now);
+    const bool newer = apply_report(state.peers_, state.load_, *report, now);
+    if (newer && !may_be_old(state))
+    {
+        apply_news(state, report->news_, report->version_);
+    }
     if (!known)
     {
         log_event(severity::info, peer_found, "a VM reports its load",
@@ -139,6 +165,7 @@
         {
             continue;
         }
+        watch_for_standstill(exchange->state_);
         report_silent_peers(*exchange, now);
         send_to_peers(*exchange, now);
         exchange->next_report_.expires_at(now + report_interval);
--- a/packages/gateway/src/process/gateway_state.cpp
+++ b/packages/gateway/src/process/gateway_state.cpp
@@ -50,7 +50,7 @@
 
 bool is_ready(const gateway_state& state)
 {
-    return !state.stopping_ && state.table_ != nullptr && state.servers_listed_;
+    return !state.stopping_ && state.table_ != nullptr && state.list_.listed_;
 }
 
 bool keys_are_fresh(const gateway_state& state)
--- /dev/null
+++ b/packages/gateway/src/process/server_list.cpp
@@ -0,0 +1,152 @@
+#include "cornelstall/gateway/process/server_list.hpp"
+
+#include <algorithm>
+
+#include "cornelstall/gateway/process/gateway_state.hpp"
+
+namespace cornelstall
+{
+
+namespace
+{
+
+constexpr event_kind server_changed{4042, "server_listed"};
+constexpr event_kind server_removed{4043, "server_removed"};
+
+/// Changes are told this long; a VM that hears none of these reports reads the log itself.
+constexpr milliseconds tell_for{3000};
+/// A VM that is silent for three reports does not count among the readers.
+constexpr milliseconds reader_silence{1000};
+
+void remove_server(gateway_state& state, const server_id& id, log_offset at)
+{
+    if (unlist_server(state.directory_, id, at))
+    {
+        log_event(severity::info, server_removed, "a server is gone from the list",
+                  {{"server", id.get()}, {"offset", std::to_string(at.get())}});
+    }
+}
+
+/// True when the removal of a server may only say that it could not write its entry.
+bool may_have_lapsed(const gateway_state& state, const server_id& id, time_point now)
+{
+    const auto found = state.directory_.servers_.find(id);
+    return now < state.list_.lapse_until_ && found != state.directory_.servers_.end() &&
+           found->second.listed_.state_ == server_state::ready;
+}
+
+void apply_listing(gateway_state& state, const server_change& change)
+{
+    state.list_.lapsed_.erase(change.server_.id_);
+    if (!list_server(state.directory_, change.server_, change.at_, std::chrono::steady_clock::now()))
+    {
+        return;
+    }
+    state.list_.changes_.push_back({std::chrono::steady_clock::now(), change});
+    log_event(severity::info, server_changed,
+              change.server_.state_ == server_state::ready ? "a server is ready" : "a server is draining",
+              {{"server", change.server_.id_.get()},
+               {"address", change.server_.address_.get()},
+               {"offset", std::to_string(change.at_.get())}});
+}
+
+void drop_old_changes(server_list& list, time_point now)
+{
+    while (!list.changes_.empty() && now - list.changes_.front().seen_at_ > tell_for)
+    {
+        list.changes_from_ = std::max(list.changes_from_, list.changes_.front().change_.at_.next());
+        list.changes_.pop_front();
+    }
+}
+
+milliseconds age_of(std::chrono::nanoseconds moment)
+{
+    return std::chrono::duration_cast<milliseconds>(boot_time() - moment);
+}
+
+}  // namespace
+
+void apply_change(gateway_state& state, server_change change)
+{
+    if (!change.removed_)
+    {
+        apply_listing(state, change);
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    state.list_.changes_.push_back({now, change});
+    if (may_have_lapsed(state, change.server_.id_, now))
+    {
+        state.list_.lapsed_[change.server_.id_] = change.at_;
+        return;
+    }
+    remove_server(state, change.server_.id_, change.at_);
+}
+
+void confirm_lapses(gateway_state& state)
+{
+    auto& list = state.list_;
+    if (list.lapsed_.empty() || std::chrono::steady_clock::now() < list.lapse_until_)
+    {
+        return;
+    }
+    const auto lapsed = std::exchange(list.lapsed_, {});
+    std::ranges::for_each(lapsed, [&state](const auto& entry) { remove_server(state, entry.first, entry.second); });
+}
+
+void confirm_list(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at)
+{
+    state.list_.next_ = std::max(state.list_.next_, next);
+    state.list_.confirmed_at_ = std::max(state.list_.confirmed_at_, confirmed_at);
+}
+
+store_news own_news(gateway_state& state)
+{
+    auto& list = state.list_;
+    drop_old_changes(list, std::chrono::steady_clock::now());
+    store_news news;
+    news.reached_ = state.store_reached_;
+    if (state.table_ && age_of(state.table_read_at_) < tell_for)
+    {
+        news.table_age_ = age_of(state.table_confirmed_at_);
+    }
+    if (list.listed_ && age_of(list.read_at_) < tell_for)
+    {
+        news.list_age_ = age_of(list.confirmed_at_);
+        news.list_from_ = list.changes_from_;
+        news.list_next_ = list.next_;
+        std::ranges::transform(list.changes_, std::back_inserter(news.changes_), &recent_change::change_);
+    }
+    return news;
+}
+
+void apply_news(gateway_state& state, const store_news& news, configuration_version version)
+{
+    const auto now = boot_time();
+    if (news.table_age_ && state.table_ && state.table_->version_ == version)
+    {
+        state.table_confirmed_at_ = std::max(state.table_confirmed_at_, now - *news.table_age_);
+    }
+    auto& list = state.list_;
+    if (!news.list_age_ || !list.listed_ || list.next_ < news.list_from_)
+    {
+        return;
+    }
+    std::ranges::for_each(news.changes_, [&state, known = list.next_](const server_change& change) {
+        if (change.at_ >= known)
+        {
+            apply_change(state, change);
+        }
+    });
+    confirm_list(state, news.list_next_, now - *news.list_age_);
+    confirm_lapses(state);
+}
+
+bool must_read(const gateway_state& state, std::chrono::nanoseconds confirmed_at)
+{
+    const auto rank =
+        reader_rank(state.peers_, vm_id{state.settings_.name_}, reader_silence, std::chrono::steady_clock::now());
+    return age_of(confirmed_at) >= read_after(rank);
+}
+
+}  // namespace cornelstall
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -219,7 +219,7 @@
 std::optional<refusal> admit(exchange& current)
 {
     auto& state = current.state_;
-    if (!current.table_ || !state.servers_listed_)
+    if (!current.table_ || !state.list_.listed_)
     {
         return refusal{503, "no_configuration", retry_later};
     }
--- a/packages/gateway/src/version/follow_table.cpp
+++ b/packages/gateway/src/version/follow_table.cpp
@@ -12,8 +12,10 @@
 constexpr event_kind log_lost{3022, "routes_log_unreachable"};
 constexpr event_kind log_regained{3023, "routes_log_reached"};
 
-/// Length of a poll. The news is confirmed at each return, so this bounds its age.
-constexpr milliseconds poll_wait{1500};
+/// Length of a poll of the first reader. The news is confirmed at each return, so this bounds its age.
+constexpr milliseconds poll_wait{600};
+/// Time between looks at whether a read is due.
+constexpr milliseconds check_interval{100};
 constexpr milliseconds first_pause{100};
 constexpr milliseconds longest_pause{500};
 
@@ -56,21 +58,46 @@
     log_event(severity::warning, log_lost, "the configuration cannot be read; the version in force is kept");
 }
 
-void apply_page(follower& self, const record_page& page, std::chrono::nanoseconds asked_at)
+void apply_page(follower& self, const record_page& page, std::chrono::nanoseconds asked_at, milliseconds wait)
 {
+    auto& state = self.state_;
     std::ranges::for_each(page.records_, [&self](const keyed_record& record) { apply(self, record); });
     // An empty page was answered at the end of the wait, so the news is as fresh as that.
-    const auto confirmed = page.records_.empty() ? std::min(boot_time(), asked_at + poll_wait) : asked_at;
-    self.state_.table_confirmed_at_ = std::max(self.state_.table_confirmed_at_, confirmed);
+    const auto confirmed = page.records_.empty() ? std::min(boot_time(), asked_at + wait) : asked_at;
+    state.table_confirmed_at_ = std::max(state.table_confirmed_at_, confirmed);
+    state.table_read_at_ = boot_time();
+    if (!page.records_.empty())
+    {
+        state.on_load_changed_();
+    }
+}
+
+/// True when this VM waits at the log for the next version; the others hear of it.
+bool is_first_reader(const gateway_state& state)
+{
+    return must_read(state, boot_time() - read_after(0));
+}
+
+bool is_behind(const gateway_state& state)
+{
+    return !state.table_ || state.table_->version_ < newest_version(state.peers_);
 }
 
 task<> follow_changes(follower& self, log_offset next)
 {
+    auto& state = self.state_;
     auto pause = first_pause;
     while (true)
     {
+        const bool waits = is_first_reader(state);
+        if (!waits && !is_behind(state) && !must_read(state, state.table_confirmed_at_))
+        {
+            co_await sleep_for(check_interval);
+            continue;
+        }
+        const auto wait = waits ? poll_wait : milliseconds{0};
         const auto asked_at = boot_time();
-        const auto page = co_await self.log_.read_(next, poll_wait);
+        const auto page = co_await self.log_.read_(next, wait);
         note_reached(self, page.reached_);
         if (page.expired_)
         {
@@ -78,13 +105,16 @@
         }
         if (page.reached_)
         {
-            apply_page(self, page, asked_at);
+            apply_page(self, page, asked_at, wait);
             next = page.next_;
             pause = first_pause;
-            continue;
         }
-        co_await sleep_for(pause);
-        pause = std::min(pause * 2, longest_pause);
+        if (!page.reached_ || is_behind(state))
+        {
+            // Another VM may have a version that this VM's read was too early for, or the log may be away.
+            co_await sleep_for(pause);
+            pause = std::min(pause * 2, longest_pause);
+        }
     }
 }
 
@@ -108,6 +138,8 @@
         pause = first_pause;
         std::ranges::for_each(whole.records_, [&self](const keyed_record& record) { apply(self, record); });
         state.table_confirmed_at_ = std::max(state.table_confirmed_at_, asked_at);
+        state.table_read_at_ = boot_time();
+        state.on_load_changed_();
         co_await follow_changes(self, whole.next_);
     }
 }
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -1,6 +1,7 @@
 #include "cornelstall/wire/connection/load_codec.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_map>
 
 #include "load.pb.h"
@@ -13,6 +14,8 @@
 
 /// Encoded size of one entry at most; keeps a report within one datagram without encoding it twice.
 constexpr std::size_t entry_bytes = 42;
+/// Changes that leave room for work in a datagram; older ones are read from the log by whoever lacks them.
+constexpr std::size_t most_changes = 5;
 
 std::uint32_t index_of(load::LoadReport& message, std::unordered_map<server_id, std::uint32_t>& indexes,
                        const server_id& server)
@@ -57,6 +60,76 @@
     return work;
 }
 
+void encode_change(load::ServerChange& message, const server_change& change)
+{
+    const auto& server = change.server_;
+    message.set_id(server.id_.get());
+    message.set_at(change.at_.get());
+    message.set_removed(change.removed_);
+    if (change.removed_)
+    {
+        return;
+    }
+    message.set_service(server.service_.get());
+    message.set_address(server.address_.get());
+    message.set_data_centre(server.data_centre_.get());
+    message.set_slots(static_cast<std::uint32_t>(server.slots_));
+    message.set_draining(server.state_ == server_state::draining);
+    message.set_born_ms(server.born_ms_);
+    message.set_cold_remaining_ms(static_cast<std::uint32_t>(server.cold_remaining_.count()));
+}
+
+server_change decode_change(const load::ServerChange& message)
+{
+    server_change change;
+    change.at_ = log_offset{message.at()};
+    change.removed_ = message.removed();
+    auto& server = change.server_;
+    server.id_ = server_id{message.id()};
+    server.service_ = service_id{message.service()};
+    server.address_ = socket_address{message.address()};
+    server.data_centre_ = data_centre_id{message.data_centre()};
+    server.slots_ = static_cast<int>(message.slots());
+    server.state_ = message.draining() ? server_state::draining : server_state::ready;
+    server.born_ms_ = message.born_ms();
+    server.cold_remaining_ = milliseconds{message.cold_remaining_ms()};
+    return change;
+}
+
+std::uint32_t age_plus_1(const std::optional<milliseconds>& age)
+{
+    return age ? static_cast<std::uint32_t>(std::max<std::int64_t>(0, age->count())) + 1 : 0;
+}
+
+std::optional<milliseconds> age_of(std::uint32_t plus_1)
+{
+    return plus_1 == 0 ? std::nullopt : std::optional(milliseconds{plus_1 - 1});
+}
+
+void encode_news(load::StoreNews& message, store_news news)
+{
+    shorten(news, most_changes);
+    message.set_reached(news.reached_);
+    message.set_table_age_plus_1(age_plus_1(news.table_age_));
+    message.set_list_age_plus_1(age_plus_1(news.list_age_));
+    message.set_list_from(news.list_from_.get());
+    message.set_list_next(news.list_next_.get());
+    std::ranges::for_each(news.changes_,
+                          [&message](const server_change& change) { encode_change(*message.add_changes(), change); });
+}
+
+store_news decode_news(const load::StoreNews& message)
+{
+    store_news news;
+    news.reached_ = message.reached();
+    news.table_age_ = age_of(message.table_age_plus_1());
+    news.list_age_ = age_of(message.list_age_plus_1());
+    news.list_from_ = log_offset{message.list_from()};
+    news.list_next_ = log_offset{message.list_next()};
+    std::ranges::transform(message.changes(), std::back_inserter(news.changes_), decode_change);
+    return news;
+}
+
 }  // namespace
 
 std::string encode_load_report(const load_report& report, byte_count limit, time_point now)
@@ -68,6 +141,7 @@
     message.set_address(report.address_.get());
     message.set_configuration_version(report.version_.get());
     message.set_leaving(report.leaving_);
+    encode_news(*message.mutable_news(), report.news_);
     std::unordered_map<server_id, std::uint32_t> indexes;
     std::size_t bytes = message.ByteSizeLong();
     for (const auto& entry : report.work_)
@@ -99,6 +173,7 @@
     report.address_ = socket_address{message.address()};
     report.version_ = configuration_version{message.configuration_version()};
     report.leaving_ = message.leaving();
+    report.news_ = decode_news(message.news());
     std::ranges::for_each(message.work(), [&](const load::Work& work) {
         if (work.server() < static_cast<std::uint32_t>(message.servers_size()))
         {
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -62,7 +62,7 @@
         : state_(settings(), test_protocol(), io_.get_executor()),
           acceptor_(listen_on(io_.get_executor(), "127.0.0.1:0"))
     {
-        state_.servers_listed_ = true;
+        state_.list_.listed_ = true;
         spawn(state_.executor_, "accept_callers", accept_callers(state_, acceptor_));
     }
 
