--- a/packages/decisions/include/cornelstall/decisions/process/engine_schedule.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/engine_schedule.hpp
@@ -59,6 +59,10 @@
 /// @brief Removes the request named @a key.
 void remove_work(engine_schedule& load, running_key key);
 
+/// @brief The length of a pass that only generates, at the usual pace; nothing when a prompt is known to be read there,
+/// as a pass then takes longer.
+[[nodiscard]] std::optional<double> pure_pass_ms(const engine_schedule& load, const engine_profile& profile);
+
 /// @brief What placing a request on an engine is expected to bring.
 struct placement_forecast
 {
--- a/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -38,6 +38,8 @@
     time_point avoid_until_;      ///< not chosen before, unless nothing else is left
     milliseconds avoid_step_{0};  ///< grows with failures in a row
     double pace_ = 1.0;           ///< measured time over predicted time; above 1 is slower than its profile
+    double least_ratio_ = 0.0;    ///< smallest of the measured ratios since the pace was last set
+    int ratios_ = 0;              ///< measured since the pace was last set
     int failures_in_a_row_ = 0;
     std::uint64_t sent_ = 0;  ///< requests that this VM sent
 };
@@ -63,6 +65,10 @@
 /// @brief Notes that @a server refused work because it is full.
 void note_full(known_server& server, time_point now);
 
+/// @brief Notes that a pass took @a ratio times as long as predicted. The pace follows the smallest of a few ratios,
+/// since work of other VMs that is not known yet only makes passes longer.
+void note_pass(known_server& server, double ratio);
+
 /// @brief Notes an answer of @a server to a request.
 void note_success(known_server& server);
 
--- a/packages/decisions/src/process/server_directory.cpp
+++ b/packages/decisions/src/process/server_directory.cpp
@@ -16,6 +16,10 @@
 /// A full server frees a slot within the time of a few passes.
 constexpr milliseconds full_avoidance{60};
 
+/// Ratios of which the smallest sets the pace; about a quarter of a second of one stream.
+constexpr int ratios_for_pace = 4;
+constexpr double slowest_pace = 16.0;
+
 }  // namespace
 
 bool list_server(server_directory& directory, listed_server entry, log_offset at, time_point now)
@@ -71,6 +75,16 @@
     server.avoid_until_ = std::max(server.avoid_until_, now + full_avoidance);
 }
 
+void note_pass(known_server& server, double ratio)
+{
+    server.least_ratio_ = server.ratios_ == 0 ? ratio : std::min(server.least_ratio_, ratio);
+    if (++server.ratios_ >= ratios_for_pace)
+    {
+        server.pace_ = std::clamp(server.least_ratio_, 1.0, slowest_pace);
+        server.ratios_ = 0;
+    }
+}
+
 void note_success(known_server& server)
 {
     server.failures_in_a_row_ = 0;
--- a/packages/gateway/include/cornelstall/gateway/connection/load_exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/load_exchange.hpp
@@ -10,7 +10,7 @@
 /// @brief The socket by which VMs tell one another what they have running.
 struct load_exchange
 {
-    load_exchange(gateway_state& state, boost::asio::ip::udp::endpoint listen);
+    load_exchange(gateway_state& state, const boost::asio::ip::udp::endpoint& listen);
 
     gateway_state& state_;
     boost::asio::ip::udp::socket socket_;
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -123,7 +123,7 @@
 
 }  // namespace
 
-load_exchange::load_exchange(gateway_state& state, udp::endpoint listen)
+load_exchange::load_exchange(gateway_state& state, const udp::endpoint& listen)
     : state_(state), socket_(state.executor_, listen), next_report_(state.executor_)
 {
     boost::system::error_code ignored;  // the default size only loses more datagrams in a burst
--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -127,6 +127,22 @@
     current.last_event_at_ = now;
 }
 
+/// Learns the pace of the server from the pause before an event.
+void learn_pace(exchange& current, const server_id& id, milliseconds pause)
+{
+    auto& state = current.state_;
+    const auto server = state.directory_.servers_.find(id);
+    const auto engine = state.load_.engines_.find(id);
+    if (server == state.directory_.servers_.end() || engine == state.load_.engines_.end())
+    {
+        return;
+    }
+    if (const auto expected = pure_pass_ms(engine->second, *current.service_->engine_))
+    {
+        note_pass(server->second, static_cast<double>(pause.count()) / *expected);
+    }
+}
+
 void note_generating(exchange& current, const engine_profile& profile, std::size_t events)
 {
     auto& state = current.state_;
@@ -195,12 +211,18 @@
             }
             const auto id = last_id(events);
             current.last_event_ = id ? id : current.last_event_;
-            any = true;
+            const auto pause =
+                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - current.last_event_at_);
             note_event_time(current);
             if (current.service_->engine_)
             {
+                if (any)
+                {
+                    learn_pace(current, current.tried_.back(), pause);
+                }
                 note_generating(current, *current.service_->engine_, 1);
             }
+            any = true;
             pending.erase(0, whole + event_end.size());
         }
         if (lost || pending.size() > largest_event)
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -22,8 +22,9 @@
 constexpr event_kind answer_unusable{2031, "answer_unusable"};
 constexpr event_kind answer_missing{2034, "answer_missing"};
 
-/// Servers are at most a few milliseconds away; a lost opening packet is sent again only after a second.
-constexpr milliseconds connect_limit{300};
+/// Servers are at most a few milliseconds away, and a lost opening packet is sent again only after a second. Another
+/// server can then still answer a short prompt in time.
+constexpr milliseconds connect_limit{60};
 /// A forecast may be off by this factor and this time before a send that may be repeated is given up.
 constexpr int forecast_margin = 3;
 constexpr milliseconds forecast_slack{1500};
--- a/packages/runtime/include/cornelstall/runtime/process/log_event.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/log_event.hpp
@@ -30,8 +30,9 @@
     std::string value_;
 };
 
-/// @brief Writes events of at least @a least to standard error, one line each:
-/// `time severity number name field=value … message`.
+/// @brief Writes events of at least @a least to standard output, one line each:
+/// `time severity number name field=value … message`. Lines that would block, and those beyond 1,000 a second, are
+/// dropped; `dropped_lines` in the next line counts them.
 void start_logging(severity least);
 
 /// @brief The severity named @a text.
--- /dev/null
+++ b/tests/gateway/store_news_test.cpp
@@ -0,0 +1,104 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/gateway_fixture.hpp"
+
+using namespace cornelstall;
+using namespace cornelstall::tests;
+
+namespace
+{
+
+server_change change_of(const std::string& id, std::uint64_t at, server_state state, bool removed = false)
+{
+    server_change change;
+    change.at_ = log_offset{at};
+    change.removed_ = removed;
+    change.server_.id_ = server_id{id};
+    change.server_.service_ = service_id{"s"};
+    change.server_.address_ = socket_address{"127.0.0.1:9"};
+    change.server_.state_ = state;
+    return change;
+}
+
+store_news news_of(std::uint64_t from, std::uint64_t next, std::vector<server_change> changes)
+{
+    store_news news;
+    news.reached_ = true;
+    news.list_age_ = milliseconds{100};
+    news.list_from_ = log_offset{from};
+    news.list_next_ = log_offset{next};
+    news.changes_ = std::move(changes);
+    return news;
+}
+
+}  // namespace
+
+TEST_CASE("news of the list are applied only where they join what is known")
+{
+    // Taking the end of news that begin later would lose the changes between.
+    gateway_fixture gateway;
+    auto& state = gateway.state_;
+    state.list_.next_ = log_offset{10};
+    apply_news(state, news_of(12, 20, {change_of("a", 15, server_state::ready)}), {});
+    CHECK(state.directory_.servers_.empty());
+    CHECK(state.list_.next_ == log_offset{10});
+    CHECK(must_read(state, state.list_.confirmed_at_));
+    apply_news(state, news_of(8, 20, {change_of("a", 9, server_state::ready), change_of("b", 15, server_state::ready)}),
+               {});
+    CHECK(state.directory_.servers_.size() == 1);
+    CHECK(state.list_.next_ == log_offset{20});
+    CHECK_FALSE(must_read(state, state.list_.confirmed_at_));
+    apply_news(state, news_of(20, 25, {change_of("b", 22, server_state::draining)}), {});
+    CHECK(ready_servers(state.directory_, service_id{"s"}).empty());
+}
+
+TEST_CASE("a confirmation of another version does not make keys fresh")
+{
+    gateway_fixture gateway;
+    gateway.use_route({});
+    gateway.state_.settings_.key_age_limit_ = milliseconds{1000};
+    store_news news;
+    news.table_age_ = milliseconds{50};
+    apply_news(gateway.state_, news, configuration_version{2});
+    CHECK_FALSE(keys_are_fresh(gateway.state_));
+    apply_news(gateway.state_, news, configuration_version{1});
+    CHECK(keys_are_fresh(gateway.state_));
+}
+
+TEST_CASE("what a VM reads is told as changes until they are old")
+{
+    gateway_fixture gateway;
+    auto& state = gateway.state_;
+    state.store_reached_ = true;
+    state.list_.read_at_ = boot_time();
+    apply_change(state, change_of("a", 3, server_state::ready));
+    confirm_list(state, log_offset{4}, boot_time());
+    auto news = own_news(state);
+    REQUIRE(news.changes_.size() == 1);
+    CHECK(news.list_next_ == log_offset{4});
+    state.list_.changes_.front().seen_at_ -= std::chrono::seconds{10};
+    news = own_news(state);
+    CHECK(news.changes_.empty());
+    CHECK(news.list_from_ == log_offset{4});
+    state.list_.read_at_ -= std::chrono::seconds{10};
+    CHECK_FALSE(own_news(state).list_age_);
+}
+
+TEST_CASE("a server whose entry lapsed while the log was away is kept until the entries are back")
+{
+    gateway_fixture gateway;
+    auto& state = gateway.state_;
+    apply_change(state, change_of("a", 1, server_state::ready));
+    apply_change(state, change_of("b", 2, server_state::ready));
+    apply_change(state, change_of("c", 3, server_state::draining));
+    state.list_.lapse_until_ = std::chrono::steady_clock::now() + std::chrono::hours{1};
+    apply_change(state, change_of("a", 4, server_state::ready, true));
+    apply_change(state, change_of("b", 5, server_state::ready, true));
+    apply_change(state, change_of("c", 6, server_state::ready, true));
+    CHECK(state.directory_.servers_.size() == 2);
+    apply_change(state, change_of("a", 7, server_state::ready));
+    state.list_.lapse_until_ = std::chrono::steady_clock::now();
+    confirm_lapses(state);
+    CHECK(state.directory_.servers_.contains(server_id{"a"}));
+    CHECK_FALSE(state.directory_.servers_.contains(server_id{"b"}));
+}
