--- a/packages/decisions/src/process/engine_schedule.cpp
+++ b/packages/decisions/src/process/engine_schedule.cpp
@@ -17,8 +17,6 @@
 constexpr double answer_token_weight = 10.0;
 /// Spread of the forecast's error against the goal; the chance of being in time falls over this part of it.
 constexpr double goal_spread = 0.15;
-/// From the end of a read to the first event at the caller: the network, and the engine's way to the first token.
-constexpr double delivery_ms = 20.0;
 /// Part of a request's value that is left once its goal is missed, falling further with the delay.
 constexpr double late_value = 0.2;
 /// A forecast ends here: no goal is longer, and an engine that needs more is the wrong one anyway.
@@ -160,7 +158,7 @@
     begin_answers(ahead.work_, made);
     std::ranges::for_each(made.finished_reads_, [&](running_key key) {
         const auto read = std::ranges::find(ahead.work_, key, &engine_work::key_);
-        const double after = std::chrono::duration_cast<float_ms>(end - read->arrived_).count() + delivery_ms;
+        const double after = std::chrono::duration_cast<float_ms>(end - read->arrived_).count();
         ahead.value_ += expected_value(*read, after);
         if (key == candidate)
         {
--- a/packages/decisions/src/process/server_directory.cpp
+++ b/packages/decisions/src/process/server_directory.cpp
@@ -18,6 +18,8 @@
 
 /// Ratios of which the smallest sets the pace; about a quarter of a second of one stream.
 constexpr int ratios_for_pace = 4;
+/// Smaller ratios come from work that this VM does not know yet, not from the server.
+constexpr double least_slow_pace = 2.0;
 constexpr double slowest_pace = 16.0;
 
 }  // namespace
@@ -80,7 +82,7 @@
     server.least_ratio_ = server.ratios_ == 0 ? ratio : std::min(server.least_ratio_, ratio);
     if (++server.ratios_ >= ratios_for_pace)
     {
-        server.pace_ = std::clamp(server.least_ratio_, 1.0, slowest_pace);
+        server.pace_ = server.least_ratio_ < least_slow_pace ? 1.0 : std::min(server.least_ratio_, slowest_pace);
         server.ratios_ = 0;
     }
 }
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -34,6 +34,10 @@
 /// @brief Applies one change that was read or heard.
 void apply_change(gateway_state& state, server_change change);
 
+/// @brief Notes that this VM can read the list again. Removals are doubted for a while if no VM could read it before:
+/// servers could not write their entries either.
+void note_list_reached(gateway_state& state);
+
 /// @brief Removes the servers whose entries did not come back after the log's return.
 void confirm_lapses(gateway_state& state);
 
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -17,8 +17,6 @@
 constexpr milliseconds check_interval{100};
 constexpr milliseconds first_pause{200};
 constexpr milliseconds longest_pause{1000};
-/// Entries that lapsed while the log was away are written again within two seconds of its return.
-constexpr milliseconds lapse_grace{2500};
 
 struct follower
 {
@@ -82,7 +80,7 @@
         log_event(severity::warning, list_unreachable, "the list of servers cannot be read; the last one is kept");
         return;
     }
-    state.list_.lapse_until_ = std::chrono::steady_clock::now() + lapse_grace;
+    note_list_reached(state);
     log_event(severity::info, list_reached, "the list of servers can be read");
 }
 
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -15,6 +15,10 @@
 
 /// Changes are told this long; a VM that hears none of these reports reads the log itself.
 constexpr milliseconds tell_for{3000};
+/// Entries that lapsed while the log was away are written again within two seconds of its return.
+constexpr milliseconds lapse_grace{2500};
+/// A log that some VM could read this short a time ago was not away for the three heartbeats after which entries lapse.
+constexpr milliseconds shortest_lapse{2500};
 /// A VM that is silent for three reports does not count among the readers.
 constexpr milliseconds reader_silence{1000};
 
@@ -83,6 +87,14 @@
     remove_server(state, change.server_.id_, change.at_);
 }
 
+void note_list_reached(gateway_state& state)
+{
+    if (age_of(state.list_.confirmed_at_) >= shortest_lapse)
+    {
+        state.list_.lapse_until_ = std::chrono::steady_clock::now() + lapse_grace;
+    }
+}
+
 void confirm_lapses(gateway_state& state)
 {
     auto& list = state.list_;
--- a/tests/gateway/store_news_test.cpp
+++ b/tests/gateway/store_news_test.cpp
@@ -91,7 +91,8 @@
     apply_change(state, change_of("a", 1, server_state::ready));
     apply_change(state, change_of("b", 2, server_state::ready));
     apply_change(state, change_of("c", 3, server_state::draining));
-    state.list_.lapse_until_ = std::chrono::steady_clock::now() + std::chrono::hours{1};
+    state.list_.confirmed_at_ = boot_time() - std::chrono::seconds{10};
+    note_list_reached(state);
     apply_change(state, change_of("a", 4, server_state::ready, true));
     apply_change(state, change_of("b", 5, server_state::ready, true));
     apply_change(state, change_of("c", 6, server_state::ready, true));
@@ -102,3 +103,16 @@
     CHECK(state.directory_.servers_.contains(server_id{"a"}));
     CHECK_FALSE(state.directory_.servers_.contains(server_id{"b"}));
 }
+
+TEST_CASE("a VM that only the store refused believes a removal at once")
+{
+    // It took its own return to the store for the store's and kept a leaving server for 2.1 s; the others read all the
+    // while.
+    gateway_fixture gateway;
+    auto& state = gateway.state_;
+    apply_change(state, change_of("a", 1, server_state::ready));
+    confirm_list(state, log_offset{2}, boot_time() - milliseconds{500});
+    note_list_reached(state);
+    apply_change(state, change_of("a", 2, server_state::ready, true));
+    CHECK(state.directory_.servers_.empty());
+}
