Avoid an unreachable data centre as a whole, and charge no repeat for a server that was not reached

Cause: in both recorded incidents the data centre that was cut off refused requests although its own servers answered: it knew dead servers one by one, and each failed connect took a repeat of the retry budget until that was empty. Ruled out: full servers (the sends ended before a connection) and stale lists. Also repairs findings of the linter in the new code.

--- a/packages/decisions/src/request/server_choice.cpp
+++ b/packages/decisions/src/request/server_choice.cpp
@@ -1,6 +1,9 @@
 #include "cornelstall/decisions/request/server_choice.hpp"
 
 #include <algorithm>
+#include <map>
+#include <ranges>
+#include <set>
 #include <tuple>
 
 namespace cornelstall
@@ -25,6 +28,39 @@
     placement_forecast forecast_;
 };
 
+/// A data centre with this many avoided servers, and at least this part of all, cannot be reached.
+constexpr int unreachable_servers = 3;
+constexpr double unreachable_share = 0.5;
+
+/// Servers of one data centre, of all services.
+struct data_centre_reach
+{
+    int servers_ = 0;
+    int avoided_ = 0;
+};
+
+/// The data centres whose servers are to be avoided: a cut is learned from a few failed sends, not from one for each
+/// server.
+std::set<data_centre_id> unreachable_data_centres(const server_directory& directory, time_point now)
+{
+    std::map<data_centre_id, data_centre_reach> reach;
+    std::ranges::for_each(directory.servers_ | std::views::values, [&](const known_server& server) {
+        auto& counted = reach[server.listed_.data_centre_];
+        ++counted.servers_;
+        counted.avoided_ += server.avoid_until_ > now && server.failures_in_a_row_ > 0 ? 1 : 0;
+    });
+    std::set<data_centre_id> unreachable;
+    std::ranges::for_each(reach, [&unreachable](const auto& entry) {
+        const auto& counted = entry.second;
+        if (counted.avoided_ >= unreachable_servers &&
+            static_cast<double>(counted.avoided_) >= unreachable_share * static_cast<double>(counted.servers_))
+        {
+            unreachable.insert(entry.first);
+        }
+    });
+    return unreachable;
+}
+
 std::uint64_t tie_breaker(const server_id& id, std::uint64_t draw)
 {
     return std::hash<server_id>{}(id) ^ draw;
@@ -58,6 +94,7 @@
 {
     std::vector<ranked_server> ranked;
     const auto ready = ready_servers(directory, service.id_);
+    const auto unreachable = unreachable_data_centres(directory, now);
     std::ranges::for_each(ready, [&](known_server* server) {
         if (std::ranges::find(request.tried_, server->listed_.id_) != request.tried_.end())
         {
@@ -66,7 +103,7 @@
         auto& engine = load.engines_[server->listed_.id_];
         auto entry = service.engine_ ? rank_engine(*server, engine, *service.engine_, request, now)
                                      : rank_plain(*server, engine);
-        entry.avoided_ = server->avoid_until_ > now;
+        entry.avoided_ = server->avoid_until_ > now || unreachable.contains(server->listed_.data_centre_);
         entry.tie_ = tie_breaker(server->listed_.id_, request.draw_);
         if (server->listed_.data_centre_ != request.data_centre_)
         {
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -32,7 +32,7 @@
 };
 
 /// @brief Applies one change that was read or heard.
-void apply_change(gateway_state& state, server_change change);
+void apply_change(gateway_state& state, const server_change& change);
 
 /// @brief Notes that this VM can read the list again. Removals are doubted for a while if no VM could read it before:
 /// servers could not write their entries either.
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -47,7 +47,8 @@
 
     running_key running_;  ///< the present send in the load that VMs tell one another
     std::vector<server_id> tried_;
-    int sends_ = 0;                                  ///< arrivals at backend servers
+    int sends_ = 0;                                  ///< servers that were tried
+    int arrivals_ = 0;                               ///< servers that were reached
     int possible_runs_ = 0;                          ///< sends that may have run
     bool head_sent_ = false;                         ///< the caller has the head of an answer
     bool keep_caller_ = true;                        ///< the connection can take another request
--- a/packages/gateway/src/process/gateway_state.cpp
+++ b/packages/gateway/src/process/gateway_state.cpp
@@ -33,7 +33,7 @@
 gateway_state::gateway_state(gateway_settings values, gateway_protocol spoken, executor where)
     : settings_(std::move(values)),
       protocol_(std::move(spoken)),
-      executor_(where),
+      executor_(std::move(where)),
       random_(std::random_device{}()),
       incarnation_(incarnation_now())
 {
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -70,7 +70,7 @@
 
 }  // namespace
 
-void apply_change(gateway_state& state, server_change change)
+void apply_change(gateway_state& state, const server_change& change)
 {
     if (!change.removed_)
     {
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -38,7 +38,7 @@
 constexpr double patience_share = 0.85;
 constexpr milliseconds longest_silence{4000};
 /// Plain answers are kept whole in memory until they are known to be complete.
-constexpr std::size_t largest_plain_answer = 8U * 1024U * 1024U;
+constexpr std::size_t largest_plain_answer = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t read_bytes = 8192;
 
 /// The message to the server, alive until its last byte has been written.
@@ -218,8 +218,8 @@
     return status >= 500;
 }
 
-task<send_end> relay_plain(exchange& current, const listed_server server, std::shared_ptr<backend_socket> connection,
-                           answer_parser& parser, const server_answer answer)
+task<send_end> relay_plain(exchange& current, listed_server server, std::shared_ptr<backend_socket> connection,
+                           answer_parser& parser, server_answer answer)
 {
     auto body = co_await read_body(connection, parser);
     if (!body)
@@ -238,7 +238,7 @@
     co_return co_await deliver(current, std::move(whole));
 }
 
-task<send_end> relay_answer(exchange& current, const listed_server server, std::shared_ptr<backend_socket> connection,
+task<send_end> relay_answer(exchange& current, listed_server server, std::shared_ptr<backend_socket> connection,
                             answer_parser& parser)
 {
     const auto answer = current.state_.protocol_.read_answer_(parser.get());
@@ -280,6 +280,7 @@
         current.state_.metrics_.count("gateway_sends_refused_total", {{"reason", "connect_failed"}});
         co_return send_end::did_not_run;
     }
+    ++current.arrivals_;
     current.watch_->active_ = connection;
     limit_until(*connection, first_byte_deadline(current, forecast));
     const auto sent = start_writing(connection, message_for(current, server));
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -156,7 +156,7 @@
         {
             co_return end;
         }
-        if (current.sends_ > 0 && !take_repeat(current.state_.retry_budget_, current.service_->id_, now))
+        if (current.arrivals_ > 0 && !take_repeat(current.state_.retry_budget_, current.service_->id_, now))
         {
             current.state_.metrics_.count("gateway_retries_refused_total", {{"reason", "budget"}});
             co_return end;
@@ -359,7 +359,7 @@
         answer.set(http::field::retry_after, seconds);
     }
     current.state_.protocol_.write_own_fields_(current.facts_, answer);
-    answer.body() = "{\"error\":\"" + reason + "\"}";
+    answer.body() = R"({"error":")" + reason + R"("})";
     current.state_.metrics_.count("gateway_refusals_total", {{"reason", reason}});
     log_event(severity::info, refused, reason,
               {{"request", current.facts_.id_.get()},
--- a/tests/decisions/engine_schedule_test.cpp
+++ b/tests/decisions/engine_schedule_test.cpp
@@ -126,6 +126,37 @@
     CHECK(choose_server(directory, load, service, request, now).server_->listed_.id_ == server_id{"a"});
     request.tried_ = {server_id{"a"}};
     CHECK(choose_server(directory, load, service, request, now).server_->listed_.id_ == server_id{"b"});
-    request.tried_.push_back(server_id{"b"});
+    request.tried_.emplace_back("b");
     CHECK(choose_server(directory, load, service, request, now).server_ == nullptr);
 }
+
+TEST_CASE("a data centre whose servers cannot be reached is avoided as a whole")
+{
+    // A data centre that was cut off tried the servers of the others one by one and refused what its own could serve.
+    const time_point now{std::chrono::hours{1}};
+    server_directory directory;
+    fleet_load load;
+    const service_description service{service_id{"s"}, "/health", 100, profile()};
+    for (const auto* const name : {"near", "far-1", "far-2", "far-3", "far-4", "far-5"})
+    {
+        listed_server entry;
+        entry.id_ = server_id{name};
+        entry.service_ = service.id_;
+        entry.address_ = socket_address{std::string("10.0.0.1:80") + name};
+        entry.data_centre_ = data_centre_id{std::string(name) == "near" ? "own" : "other"};
+        list_server(directory, entry, log_offset{1}, now);
+    }
+    // The near engine reads a long prompt, so an idle one elsewhere would be chosen.
+    add_work(load.engines_[server_id{"near"}], work(1, 182000, long_goal, now), now);
+    const choice_request request{service.id_, work(2, 5000, short_goal, now), data_centre_id{"own"}, {}, 7};
+    CHECK(choose_server(directory, load, service, request, now).server_->listed_.id_ != server_id{"near"});
+    for (const auto* const name : {"far-1", "far-2"})
+    {
+        note_failure(directory.servers_.at(server_id{name}), now);
+    }
+    CHECK(choose_server(directory, load, service, request, now).server_->listed_.id_ != server_id{"near"});
+    note_failure(directory.servers_.at(server_id{"far-3"}), now);
+    CHECK(choose_server(directory, load, service, request, now).server_->listed_.id_ == server_id{"near"});
+    const auto later = now + std::chrono::seconds{5};
+    CHECK(choose_server(directory, load, service, request, later).server_->listed_.id_ != server_id{"near"});
+}
--- a/tests/gateway/request_test.cpp
+++ b/tests/gateway/request_test.cpp
@@ -262,3 +262,20 @@
     CHECK_FALSE(use_table(gateway.state_, old));
     CHECK(gateway.state_.table_->version_ == configuration_version{2});
 }
+
+TEST_CASE("a server that is not reached costs no repeat of the budget")
+{
+    gateway_fixture gateway;
+    gateway.use_route(route_of(request_kind::non_idempotent, 1));
+    gateway.state_.retry_budget_.bound_.extra_ = 0;
+    gateway.state_.retry_budget_.bound_.ratio_ = 0;
+    const auto gone = gateway.add_server([](const auto&) { return plain("200 OK", "gone"); });
+    gone->acceptor_.close();
+    const auto good = gateway.add_server([](const auto&) { return plain("200 OK", "good"); });
+    for (int call = 0; call < 4; ++call)
+    {
+        note_success(gateway.state_.directory_.servers_.at(server_id{"server-0"}));
+        CHECK(has(gateway.ask(request_text("POST", {}, "book")), "good"));
+    }
+    CHECK(good->arrivals_.size() == 4);
+}
