Compare at an instant at which the near engine still reads

Cause: the new test looked 5 s later, when the simulated long read of the near engine had ended, so choosing it was right. The pauses of the avoided servers end after 250 ms; at 500 ms the near engine still reads and the others must be chosen again.

--- a/tests/decisions/engine_schedule_test.cpp
+++ b/tests/decisions/engine_schedule_test.cpp
@@ -157,6 +157,6 @@
     CHECK(choose_server(directory, load, service, request, now).server_->listed_.id_ != server_id{"near"});
     note_failure(directory.servers_.at(server_id{"far-3"}), now);
     CHECK(choose_server(directory, load, service, request, now).server_->listed_.id_ == server_id{"near"});
-    const auto later = now + std::chrono::seconds{5};
+    const auto later = now + milliseconds{500};
     CHECK(choose_server(directory, load, service, request, later).server_->listed_.id_ != server_id{"near"});
 }
