--- a/packages/decisions/include/cornelstall/decisions/request/server_choice.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/server_choice.hpp
@@ -34,7 +34,7 @@
     std::size_t considered_ = 0;  ///< servers that were ready and not tried
 };
 
-/// @brief Chooses a server: for engines the one where the request's expected benefit is the largest, for plain services
+/// @brief Chooses a server: for engines the one where the request's expected value is the largest, for plain services
 /// the one with the fewest requests, the own data centre first. Servers to avoid are taken only when no other is left.
 [[nodiscard]] server_choice choose_server(server_directory& directory, fleet_load& load,
                                           const service_description& service, const choice_request& request,
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -76,7 +76,7 @@
     message.set_slots(static_cast<std::uint32_t>(server.slots_));
     message.set_draining(server.state_ == server_state::draining);
     message.set_born_ms(server.born_ms_);
-    message.set_cold_remaining_ms(static_cast<std::uint32_t>(server.cold_remaining_.count()));
+    message.set_warm_up_ms(static_cast<std::uint32_t>(server.cold_remaining_.count()));
 }
 
 server_change decode_change(const load::ServerChange& message)
@@ -92,7 +92,7 @@
     server.slots_ = static_cast<int>(message.slots());
     server.state_ = message.draining() ? server_state::draining : server_state::ready;
     server.born_ms_ = message.born_ms();
-    server.cold_remaining_ = milliseconds{message.cold_remaining_ms()};
+    server.cold_remaining_ = milliseconds{message.warm_up_ms()};
     return change;
 }
 
