Use one header for the TOML library and finish the clean-up of the gateway

The rest was part of the same clean-up: a member that nothing read, copies of the look-up of a server and of the head of an answer.

--- a/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -26,7 +26,6 @@
     server_state state_ = server_state::ready;
     std::uint64_t born_ms_ = 0;  ///< Unix millisecond of the start; tells a restart under the same id
     milliseconds cold_remaining_{0};
-    std::uint64_t beat_ = 0;  ///< counts the entries of one start; a lower number is older news
 };
 
 /// @brief A listed server with what this VM found out about it.
@@ -41,7 +40,6 @@
     double least_ratio_ = 0.0;    ///< smallest of the measured ratios since the pace was last set
     int ratios_ = 0;              ///< measured since the pace was last set
     int failures_in_a_row_ = 0;
-    std::uint64_t sent_ = 0;  ///< requests that this VM sent
 };
 
 /// @brief All backend servers that the platform lists.
@@ -59,6 +57,9 @@
 /// @return true when it was listed
 bool unlist_server(server_directory& directory, const server_id& id, log_offset at);
 
+/// @brief The server named @a id, or null when it is not listed.
+[[nodiscard]] known_server* find_server(server_directory& directory, const server_id& id);
+
 /// @brief Notes that a request failed on @a server in a way that says something about the server.
 void note_failure(known_server& server, time_point now);
 
--- a/packages/decisions/src/process/server_directory.cpp
+++ b/packages/decisions/src/process/server_directory.cpp
@@ -65,6 +65,12 @@
     return directory.servers_.erase(id) > 0;
 }
 
+known_server* find_server(server_directory& directory, const server_id& id)
+{
+    const auto found = directory.servers_.find(id);
+    return found == directory.servers_.end() ? nullptr : &found->second;
+}
+
 void note_failure(known_server& server, time_point now)
 {
     server.avoid_step_ = std::clamp(server.avoid_step_ * 2, first_avoidance, longest_avoidance);
--- a/packages/declarations/src/field_reader.hpp
+++ b/packages/declarations/src/field_reader.hpp
@@ -8,8 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include "cornelstall/declarations/detail/toml_library.hpp"
 #include "cornelstall/declarations/parse.hpp"
-#include "toml_library.hpp"
 
 namespace cornelstall::detail
 {
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -50,6 +50,9 @@
 /// @brief Takes over what another VM read, as far as it joins what is known here.
 void apply_news(gateway_state& state, const store_news& news, configuration_version version);
 
+/// @brief The place of this VM among those that read the log, from 0.
+[[nodiscard]] std::size_t own_rank(const gateway_state& state);
+
 /// @brief True when this VM must read the log itself because what it knows was confirmed at @a confirmed_at.
 [[nodiscard]] bool must_read(const gateway_state& state, std::chrono::nanoseconds confirmed_at);
 
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -21,8 +21,7 @@
 struct caller_watch
 {
     bool left_ = false;
-    std::weak_ptr<backend_socket> active_;            ///< closed when the caller leaves
-    std::weak_ptr<boost::asio::steady_timer> pause_;  ///< cancelled when the caller leaves
+    std::weak_ptr<backend_socket> active_;  ///< closed when the caller leaves
 };
 
 /// @brief What is known about one caller's request until its answer has been sent.
@@ -80,6 +79,14 @@
 /// @brief Sends the request of @a current to @a server and relays the answer.
 [[nodiscard]] task<send_end> send_to_server(exchange& current, listed_server server, placement_forecast forecast);
 
+/// @brief Counts a send whose answer did not come whole.
+/// @return how the send ended: the caller left, the time limit passed, or the server may have run the request
+[[nodiscard]] send_end end_of_lost_send(exchange& current);
+
+/// @brief Copies status and fields of a server's answer, without those that concern its connection.
+void copy_head(const exchange& current, const boost::beast::http::response_header<>& from,
+               boost::beast::http::response_header<>& to);
+
 /// @brief Relays the events of an answer whose head has been read by @a parser.
 /// @param gap longest silence of the server before the send is given up
 [[nodiscard]] task<send_end> relay_events(exchange& current, std::shared_ptr<backend_socket> server,
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -154,11 +154,14 @@
     confirm_lapses(state);
 }
 
+std::size_t own_rank(const gateway_state& state)
+{
+    return reader_rank(state.peers_, vm_id{state.settings_.name_}, reader_silence, std::chrono::steady_clock::now());
+}
+
 bool must_read(const gateway_state& state, std::chrono::nanoseconds confirmed_at)
 {
-    const auto rank =
-        reader_rank(state.peers_, vm_id{state.settings_.name_}, reader_silence, std::chrono::steady_clock::now());
-    return age_of(confirmed_at) >= read_after(rank);
+    return age_of(confirmed_at) >= read_after(own_rank(state));
 }
 
 }  // namespace cornelstall
--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -56,11 +56,7 @@
 {
     http::response<http::empty_body> head;
     head.version(11);
-    head.result(parser.get().result_int());
-    head.reason(parser.get().reason());
-    std::ranges::for_each(
-        parser.get(), [&head](const auto& field) { head.insert(field.name(), field.name_string(), field.value()); });
-    current.state_.protocol_.strip_answer_fields_(head);
+    copy_head(current, parser.get(), head);
     head.erase(http::field::content_length);
     head.chunked(true);
     head.keep_alive(current.keep_caller_);
@@ -131,19 +127,19 @@
 void learn_pace(exchange& current, const server_id& id, milliseconds pause)
 {
     auto& state = current.state_;
-    const auto server = state.directory_.servers_.find(id);
+    auto* const server = find_server(state.directory_, id);
     const auto engine = state.load_.engines_.find(id);
-    if (server == state.directory_.servers_.end() || engine == state.load_.engines_.end())
+    if (server == nullptr || engine == state.load_.engines_.end())
     {
         return;
     }
     if (const auto expected = pure_pass_ms(engine->second, *current.service_->engine_))
     {
-        note_pass(server->second, static_cast<double>(pause.count()) / *expected);
+        note_pass(*server, static_cast<double>(pause.count()) / *expected);
     }
 }
 
-void note_generating(exchange& current, const engine_profile& profile, std::size_t events)
+void note_generating(exchange& current, const engine_profile& profile)
 {
     auto& state = current.state_;
     const auto own = std::ranges::find_if(
@@ -153,7 +149,7 @@
         return;
     }
     auto& work = own->work_;
-    work.answer_left_ -= token_count{static_cast<std::int64_t>(events) * profile.steps_per_pass_};
+    work.answer_left_ -= token_count{profile.steps_per_pass_};
     work.unread_ = token_count{0};
     work.late_ = current.late_;
     if (!work.generating_)
@@ -164,19 +160,37 @@
     }
 }
 
-send_end end_of_cut_stream(exchange& current, std::shared_ptr<backend_socket> server)
+send_end end_of_cut_stream(exchange& current, const backend_socket& server)
 {
-    if (current.watch_->left_)
+    const auto end = end_of_lost_send(current);
+    if (end != send_end::broken_off)
     {
-        return send_end::broken_off;
+        const bool late = end == send_end::out_of_time;
+        log_event(severity::info, stream_cut, late ? "the time limit passed" : "the server's stream ended early",
+                  {{"request", current.facts_.id_.get()},
+                   {"silent", server.expired_ ? "1" : "0"},
+                   {"last_event", current.last_event_ ? std::to_string(*current.last_event_) : "none"}});
     }
-    ++current.possible_runs_;
-    const bool late = time_left(current).count() <= 0;
-    log_event(severity::info, stream_cut, late ? "the time limit passed" : "the server's stream ended early",
-              {{"request", current.facts_.id_.get()},
-               {"silent", server->expired_ ? "1" : "0"},
-               {"last_event", current.last_event_ ? std::to_string(*current.last_event_) : "none"}});
-    return late ? send_end::out_of_time : send_end::may_have_run;
+    return end;
+}
+
+/// Notes that the whole events @a events were delivered; @a first when they are the first of this send.
+void note_delivered(exchange& current, std::string_view events, bool first)
+{
+    const auto id = last_id(events);
+    current.last_event_ = id ? id : current.last_event_;
+    const auto pause =
+        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - current.last_event_at_);
+    note_event_time(current);
+    if (!current.service_->engine_)
+    {
+        return;
+    }
+    if (!first)
+    {
+        learn_pace(current, current.tried_.back(), pause);
+    }
+    note_generating(current, *current.service_->engine_);
 }
 
 }  // namespace
@@ -209,30 +223,18 @@
             {
                 co_return send_end::broken_off;
             }
-            const auto id = last_id(events);
-            current.last_event_ = id ? id : current.last_event_;
-            const auto pause =
-                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - current.last_event_at_);
-            note_event_time(current);
-            if (current.service_->engine_)
-            {
-                if (any)
-                {
-                    learn_pace(current, current.tried_.back(), pause);
-                }
-                note_generating(current, *current.service_->engine_, 1);
-            }
+            note_delivered(current, events, !any);
             any = true;
             pending.erase(0, whole + event_end.size());
         }
         if (lost || pending.size() > largest_event)
         {
-            co_return end_of_cut_stream(current, server);
+            co_return end_of_cut_stream(current, *server);
         }
     }
     if (!pending.empty())
     {
-        co_return end_of_cut_stream(current, server);
+        co_return end_of_cut_stream(current, *server);
     }
     const bool ended = co_await send_end_of_stream(current, parser);
     ++current.possible_runs_;
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -100,17 +100,6 @@
     return std::min(share, longest_silence);
 }
 
-/// What the end of a connection without a usable answer means.
-send_end end_of_lost_send(exchange& current)
-{
-    if (current.watch_->left_)
-    {
-        return send_end::broken_off;
-    }
-    ++current.possible_runs_;
-    return time_left(current).count() <= 0 ? send_end::out_of_time : send_end::may_have_run;
-}
-
 send_end refuse_answer(exchange& current, const listed_server& server, const char* why)
 {
     current.state_.metrics_.count("gateway_answers_unusable_total", {{"reason", why}});
@@ -160,12 +149,7 @@
 http_response plain_answer(exchange& current, answer_parser& parser, std::string body)
 {
     http_response answer;
-    answer.result(parser.get().result_int());
-    answer.reason(parser.get().reason());
-    std::ranges::for_each(parser.get(), [&answer](const auto& field) {
-        answer.insert(field.name(), field.name_string(), field.value());
-    });
-    current.state_.protocol_.strip_answer_fields_(answer);
+    copy_head(current, parser.get(), answer);
     if (current.request_.method() != http::verb::head)
     {
         answer.erase(http::field::content_length);
@@ -195,18 +179,15 @@
 
 send_end note_not_run(exchange& current, const listed_server& server, const server_answer& answer)
 {
-    const auto found = current.state_.directory_.servers_.find(server.id_);
-    if (found != current.state_.directory_.servers_.end())
+    auto* const known = find_server(current.state_.directory_, server.id_);
+    const auto now = std::chrono::steady_clock::now();
+    if (known != nullptr && answer.other_server_)
     {
-        const auto now = std::chrono::steady_clock::now();
-        if (answer.other_server_)
-        {
-            note_failure(found->second, now);
-        }
-        else
-        {
-            note_full(found->second, now);
-        }
+        note_failure(*known, now);
+    }
+    else if (known != nullptr)
+    {
+        note_full(*known, now);
     }
     current.state_.metrics_.count("gateway_sends_refused_total",
                                   {{"reason", answer.other_server_ ? "other_server" : "full"}});
@@ -261,6 +242,25 @@
 
 }  // namespace
 
+send_end end_of_lost_send(exchange& current)
+{
+    if (current.watch_->left_)
+    {
+        return send_end::broken_off;
+    }
+    ++current.possible_runs_;
+    return time_left(current).count() <= 0 ? send_end::out_of_time : send_end::may_have_run;
+}
+
+void copy_head(const exchange& current, const http::response_header<>& from, http::response_header<>& to)
+{
+    to.result(from.result_int());
+    to.reason(from.reason());
+    std::ranges::for_each(from,
+                          [&to](const auto& field) { to.insert(field.name(), field.name_string(), field.value()); });
+    current.state_.protocol_.strip_answer_fields_(to);
+}
+
 task<send_end> send_to_server(exchange& current, listed_server server, placement_forecast forecast)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -272,10 +272,9 @@
     }
     if (!connection)
     {
-        const auto found = current.state_.directory_.servers_.find(server.id_);
-        if (found != current.state_.directory_.servers_.end())
+        if (auto* const known = find_server(current.state_.directory_, server.id_))
         {
-            note_failure(found->second, std::chrono::steady_clock::now());
+            note_failure(*known, std::chrono::steady_clock::now());
         }
         current.state_.metrics_.count("gateway_sends_refused_total", {{"reason", "connect_failed"}});
         co_return send_end::did_not_run;
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -123,19 +123,18 @@
 
 void learn_from(exchange& current, const server_id& id, send_end end)
 {
-    const auto found = current.state_.directory_.servers_.find(id);
-    if (found == current.state_.directory_.servers_.end())
+    auto* const server = find_server(current.state_.directory_, id);
+    if (server == nullptr)
     {
         return;
     }
-    const auto now = std::chrono::steady_clock::now();
     if (end == send_end::answered)
     {
-        note_success(found->second);
+        note_success(*server);
     }
     else if (end == send_end::may_have_run || end == send_end::server_failed)
     {
-        note_failure(found->second, now);
+        note_failure(*server, std::chrono::steady_clock::now());
     }
 }
 
--- a/packages/gateway/src/version/follow_table.cpp
+++ b/packages/gateway/src/version/follow_table.cpp
@@ -75,7 +75,7 @@
 /// True when this VM waits at the log for the next version; the others hear of it.
 bool is_first_reader(const gateway_state& state)
 {
-    return must_read(state, boot_time() - read_after(0));
+    return own_rank(state) == 0;
 }
 
 bool is_behind(const gateway_state& state)
