--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -20,6 +20,7 @@
 #include "cornelstall/decisions/process/reconcile.hpp"
 #include "cornelstall/decisions/process/server_directory.hpp"
 #include "cornelstall/decisions/process/shared_retry_budget.hpp"
+#include "cornelstall/decisions/request/joint_read.hpp"
 #include "cornelstall/decisions/request/placement.hpp"
 #include "cornelstall/decisions/request/retry.hpp"
 #include "cornelstall/decisions/request/server_choice.hpp"
--- a/packages/decisions/include/cornelstall/decisions/process/engine_schedule.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/engine_schedule.hpp
@@ -23,29 +23,49 @@
 struct engine_work
 {
     running_key key_;
-    token_count prompt_{0};
-    token_count unread_{0};       ///< prompt tokens that the engine has still to read
-    token_count answer_left_{0};  ///< tokens that are expected to be generated
-    bool generating_ = false;     ///< the first token has been seen
-    int priority_ = 0;            ///< 0 is the most urgent
-    milliseconds target_{1000};   ///< goal for the first token, from the arrival of the request
-    milliseconds max_gap_{1000};  ///< longest pause between events of an answer that is in time
-    bool late_ = false;           ///< its goal or a pause has been missed already
-    time_point arrived_;          ///< arrival of the request at its VM
-    time_point sent_at_;          ///< the engine takes it up in a pass that begins after this
-    double value_ = 1.0;          ///< weight of this request against others
+    token_count prompt_{0};        ///< prompt tokens that the engine's memory holds
+    token_count unread_{0};        ///< prompt tokens that the engine has still to read
+    token_count joint_prompt_{0};  ///< the whole prompt when several engines read it together, else 0
+    bool helps_ = false;           ///< reads a part of a prompt whose answer another engine generates
+    token_count answer_left_{0};   ///< tokens that are expected to be generated
+    bool generating_ = false;      ///< the first token has been seen
+    int priority_ = 0;             ///< 0 is the most urgent
+    milliseconds target_{1000};    ///< goal for the first token, from the arrival of the request
+    milliseconds max_gap_{1000};   ///< longest pause between events of an answer that is in time
+    milliseconds patience_{2000};  ///< the caller abandons the request after a pause of this length
+    bool late_ = false;            ///< its goal or a pause has been missed already
+    time_point arrived_;           ///< arrival of the request at its VM
+    time_point sent_at_;           ///< the engine takes it up in a pass that begins after this
+    double value_ = 1.0;           ///< weight of this request against others
 };
 
 /// @brief The requests of one engine in the order of their arrival, simulated up to an instant.
 struct engine_schedule
 {
     std::vector<engine_work> work_;
-    time_point simulated_until_;
+    time_point simulated_until_;             ///< begin of the pass that is under way
+    std::optional<time_point> pass_end_;     ///< end of a pass that was seen and is not simulated yet
+    std::vector<running_key> first_tokens_;  ///< requests whose first token came with that pass
 };
 
+/// @brief How long a caller waits for the next event of a stream with these goals before it abandons the stream.
+[[nodiscard]] milliseconds caller_patience(milliseconds target, milliseconds max_gap);
+
 /// @brief Value of a request against others: grows with the tokens that it uses.
 [[nodiscard]] double value_of(token_count prompt, token_count answer);
 
+/// @brief Expected value of @a request when its first token comes @a after_ms after its arrival: falls around its goal.
+[[nodiscard]] double expected_value(const engine_work& request, double after_ms);
+
+/// @brief The time that an engine of @a profile with nothing else to do needs to read @a prompt.
+[[nodiscard]] double reading_alone_ms(const engine_profile& profile, token_count prompt);
+
+/// @brief Memory that the requests of @a load use and will use.
+[[nodiscard]] token_count memory_used(const engine_schedule& load);
+
+/// @brief Requests of @a load that hold a slot; those that only help another engine do not.
+[[nodiscard]] int slots_used(const engine_schedule& load);
+
 /// @brief Advances @a load to @a now by the passes that an engine of @a profile makes.
 /// @param pace measured time over predicted time; above 1 is a slow engine
 void advance(engine_schedule& load, const engine_profile& profile, double pace, time_point now);
@@ -53,8 +73,14 @@
 /// @brief Adds @a added, which the engine gets at @a now. The simulation of an engine that was empty begins then.
 void add_work(engine_schedule& load, engine_work added, time_point now);
 
-/// @brief Notes that the engine generates for the request named @a key.
-void note_first_token(engine_schedule& load, running_key key);
+/// @brief Notes that the engine has read its part of the prompt of the request named @a key.
+void note_part_read(engine_schedule& load, running_key key);
+
+/// @brief Notes that the first token of the request named @a key was seen at @a now, which also ends a pass.
+void note_first_token(engine_schedule& load, running_key key, time_point now);
+
+/// @brief Notes that events of a pass came at @a now, by which the simulation is aligned.
+void note_pass_end(engine_schedule& load, time_point now);
 
 /// @brief Removes the request named @a key.
 void remove_work(engine_schedule& load, running_key key);
--- a/packages/decisions/include/cornelstall/decisions/process/shared_retry_budget.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/shared_retry_budget.hpp
@@ -33,6 +33,10 @@
     std::unordered_map<service_id, retry_record> services_;
 };
 
+/// @brief Divides the budget among @a known VMs and those that may be added before this VM hears of them, and among no
+/// fewer than before: VMs that cannot be reached may still run.
+void divide_among(shared_retry_budget& budget, std::size_t known);
+
 /// @brief Notes a request of a caller for @a service.
 void note_request(shared_retry_budget& budget, const service_id& service, time_point now);
 
--- /dev/null
+++ b/packages/decisions/include/cornelstall/decisions/request/joint_read.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "cornelstall/decisions/request/server_choice.hpp"
+
+namespace cornelstall
+{
+
+/// @brief What one engine does for a prompt that several engines read together.
+struct joint_part
+{
+    listed_server server_;
+    engine_work work_;         ///< as it enters the load of the engine
+    token_count reserved_{0};  ///< memory that is to be reserved for the prompt before the request is sent
+};
+
+/// @brief A prompt that several engines read together. The first part's engine generates the answer.
+struct joint_read
+{
+    std::vector<joint_part> parts_;
+    placement_forecast forecast_;
+};
+
+/// @brief Chooses engines that read the prompt of @a request together: as many as its goal and its memory need, those
+/// where it costs the requests already there the least.
+///
+/// Linear in the number of servers times the passes until their prompts are read.
+/// @param alone expected benefit on a single engine; nothing when the prompt fits none
+/// @return nothing when reading it together is impossible or brings no more than a single engine
+[[nodiscard]] std::optional<joint_read> choose_joint_read(server_directory& directory, fleet_load& load,
+                                                          const service_description& service,
+                                                          const choice_request& request, std::optional<double> alone,
+                                                          time_point now);
+
+}  // namespace cornelstall
--- a/packages/decisions/include/cornelstall/decisions/request/server_choice.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/server_choice.hpp
@@ -34,6 +34,9 @@
     std::size_t considered_ = 0;  ///< servers that were ready and not tried
 };
 
+/// @brief Orders servers that are equally good, differently for each @a draw.
+[[nodiscard]] std::uint64_t tie_breaker(const server_id& id, std::uint64_t draw);
+
 /// @brief Chooses a server: for engines the one where the request's expected value is the largest, for plain services
 /// the one with the fewest requests, the own data centre first. Servers to avoid are taken only when no other is left.
 [[nodiscard]] server_choice choose_server(server_directory& directory, fleet_load& load,
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -47,9 +47,16 @@
         return;
     }
     known->late_ = entry.work_.late_;
+    if (entry.work_.joint_prompt_.get() > 0 && entry.work_.unread_.get() == 0)
+    {
+        known->unread_ = token_count{0};
+    }
     if (entry.work_.generating_)
     {
-        note_first_token(load.engines_[entry.server_], entry.work_.key_);
+        if (!known->generating_)
+        {
+            note_first_token(load.engines_[entry.server_], entry.work_.key_, now);
+        }
         known->answer_left_ = entry.work_.answer_left_;
     }
 }
--- a/packages/decisions/src/process/engine_schedule.cpp
+++ b/packages/decisions/src/process/engine_schedule.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <numeric>
 #include <ranges>
+#include <utility>
 
 namespace cornelstall
 {
@@ -19,17 +21,28 @@
 constexpr double goal_spread = 0.15;
 /// Part of a request's value that is left once its goal is missed, falling further with the delay.
 constexpr double late_value = 0.2;
+/// Callers abandon a stream after a pause of the longest of these: a time, times of its goal, times of its pause.
+constexpr milliseconds least_patience{2000};
+constexpr int patience_goals = 4;
+constexpr int patience_gaps = 8;
 /// A forecast ends here: no goal is longer, and an engine that needs more is the wrong one anyway.
 constexpr std::chrono::seconds longest_forecast{60};
 /// Losses below this chance are not counted; they would add up over the passes of a long read.
 constexpr double least_loss = 0.1;
 /// A request that has probably lost this part of its value to a pause is late from then on.
 constexpr double certain_loss = 0.3;
+/// Reads that are not confirmed this long after their pass should have ended are taken to be lost reports.
+constexpr milliseconds least_overdue{150};
 /// Share of a prompt that counts as unread while the engine has not shown a first token.
 constexpr std::int64_t least_unread_tokens = 256;
 
 using float_ms = std::chrono::duration<double, std::milli>;
 
+time_point::duration duration_of_pass(double length_ms)
+{
+    return std::chrono::duration_cast<time_point::duration>(float_ms(length_ms));
+}
+
 /// One pass of an engine: the requests that generate make `steps_per_pass` steps, and each step reads a chunk.
 struct pass
 {
@@ -42,9 +55,11 @@
 {
     std::int64_t context = 0;
     int generating = 0;
-    std::ranges::for_each(work | std::views::filter(&engine_work::generating_), [&](const engine_work& request) {
-        context += request.prompt_.get();
-        ++generating;
+    std::ranges::for_each(work, [&](const engine_work& request) {
+        // A helper that has read its part holds context for the steps of the engine that answers.
+        const bool counts = request.generating_ || (request.helps_ && request.unread_.get() <= 0);
+        context += counts ? request.prompt_.get() : 0;
+        generating += request.generating_ ? 1 : 0;
     });
     if (generating == 0)
     {
@@ -57,19 +72,25 @@
 
 double reading_ms(const engine_work& request, std::int64_t tokens, const engine_profile& profile)
 {
-    const auto before = static_cast<double>(request.prompt_.get() - request.unread_.get());
     const auto chunk = static_cast<double>(tokens);
-    const double pairs = chunk * (before + chunk / 2.0);
+    const auto before = static_cast<double>(request.prompt_.get() - request.unread_.get());
+    // Engines that read a prompt together share its pairs evenly.
+    const double pairs = request.joint_prompt_.get() > 0
+                             ? chunk * static_cast<double>(request.joint_prompt_.get()) / 2.0
+                             : chunk * (before + chunk / 2.0);
     return chunk / profile.read_tokens_per_ms_ + profile.read_ms_per_million_pairs_ * pairs / 1e6;
 }
 
-/// The request whose prompt is read next in a pass that began at @a start: the most urgent one, then the first one.
+/// The request whose prompt is read next in a pass that began at @a start: parts of joint prompts, then the most urgent
+/// one, then the first one.
 engine_work* next_reader(std::vector<engine_work>& work, time_point start)
 {
     auto readers = work | std::views::filter([start](const engine_work& request) {
                        return !request.generating_ && request.unread_.get() > 0 && request.sent_at_ <= start;
                    });
-    const auto found = std::ranges::min_element(readers, {}, &engine_work::priority_);
+    const auto found = std::ranges::min_element(readers, {}, [](const engine_work& request) {
+        return std::pair(request.joint_prompt_.get() == 0, request.priority_);
+    });
     return found == std::ranges::end(readers) ? nullptr : &*found;
 }
 
@@ -107,22 +128,13 @@
 void begin_answers(std::vector<engine_work>& work, const pass& made)
 {
     std::ranges::for_each(work, [&made](engine_work& request) {
-        if (std::ranges::find(made.finished_reads_, request.key_) != made.finished_reads_.end())
+        if (!request.helps_ && std::ranges::find(made.finished_reads_, request.key_) != made.finished_reads_.end())
         {
             request.generating_ = true;
         }
     });
 }
 
-/// Expected value of a request whose first token comes @a after its arrival.
-double expected_value(const engine_work& request, double after_ms)
-{
-    const auto goal = static_cast<double>(request.target_.count());
-    const double in_time = 1.0 / (1.0 + std::exp((after_ms - goal) / (goal_spread * goal)));
-    const double late = late_value / (1.0 + std::max(0.0, after_ms - goal) / goal);
-    return request.value_ * (in_time + (1.0 - in_time) * late);
-}
-
 /// The simulation of an engine's future for a forecast.
 struct future
 {
@@ -133,23 +145,26 @@
     double candidate_ms_ = 0.0;
 };
 
-/// Part of a request's value that is lost when its events are @a length_ms apart.
+/// The chance that a time forecast as @a forecast_ms exceeds @a limit.
+double chance_beyond(milliseconds limit, double forecast_ms)
+{
+    const auto bound = static_cast<double>(limit.count());
+    const double chance = 1.0 / (1.0 + std::exp((bound - forecast_ms) / (goal_spread * bound)));
+    return chance < least_loss ? 0.0 : chance;
+}
+
+/// Part of a request's value that is lost when its events are @a length_ms apart: the caller gets it late, or leaves.
 double pause_loss(const engine_work& request, double length_ms)
 {
-    if (request.late_)
-    {
-        return 0.0;
-    }
-    const auto limit = static_cast<double>(request.max_gap_.count());
-    const double late = 1.0 / (1.0 + std::exp((limit - length_ms) / (goal_spread * limit)));
-    return late < least_loss ? 0.0 : request.value_ * late * (1.0 - late_value);
+    const double late = request.late_ ? 0.0 : chance_beyond(request.max_gap_, length_ms) * (1.0 - late_value);
+    return request.value_ * (late + chance_beyond(request.patience_, length_ms) * late_value);
 }
 
 /// Advances @a ahead by one pass and counts what it brings and costs.
 void simulate_pass(future& ahead, const engine_profile& profile, double pace, running_key candidate, time_point now)
 {
     const auto made = make_pass(ahead.work_, profile, pace, ahead.start_);
-    const auto end = ahead.start_ + std::chrono::duration_cast<time_point::duration>(float_ms(made.length_ms_));
+    const auto end = ahead.start_ + duration_of_pass(made.length_ms_);
     std::ranges::for_each(ahead.work_ | std::views::filter(&engine_work::generating_), [&](engine_work& request) {
         const double loss = pause_loss(request, made.length_ms_);
         ahead.lost_ += loss;
@@ -193,39 +208,150 @@
     }
 }
 
+/// When the engine gets the next prompt to read after @a start.
+time_point first_arrival_after(const std::vector<engine_work>& work, time_point start)
+{
+    auto waiting = work | std::views::filter([start](const engine_work& request) {
+                       return is_reading(request) && request.sent_at_ > start;
+                   });
+    const auto first = std::ranges::min_element(waiting, {}, &engine_work::sent_at_);
+    return first == std::ranges::end(waiting) ? time_point::max() : first->sent_at_;
+}
+
+/// The first tokens that were seen take effect for the passes that follow.
+void take_first_tokens(engine_schedule& load)
+{
+    std::ranges::for_each(load.work_, [&load](engine_work& request) {
+        if (std::ranges::find(load.first_tokens_, request.key_) != load.first_tokens_.end())
+        {
+            request.generating_ = true;
+            request.unread_ = token_count{0};
+        }
+    });
+    load.first_tokens_.clear();
+    load.pass_end_.reset();
+}
+
+/// True when the end that was seen is that of the pass before @a made, which began a little earlier than it really did.
+bool is_begin_of(const engine_schedule& load, const pass& made)
+{
+    return load.pass_end_ && *load.pass_end_ - load.simulated_until_ < duration_of_pass(made.length_ms_) / 2;
+}
+
+/// When the pass @a made under way ended, or nothing when it has not yet. A pass whose reads are not confirmed is taken
+/// to go on for a while, since what waits behind them is not read before.
+std::optional<time_point> end_of_pass(const engine_schedule& load, const pass& made, time_point now)
+{
+    const auto length = duration_of_pass(made.length_ms_);
+    const auto predicted = load.simulated_until_ + length;
+    if (load.pass_end_ && *load.pass_end_ < predicted + length / 2)
+    {
+        return *load.pass_end_;
+    }
+    const bool confirmable = !made.finished_reads_.empty() && !load.pass_end_;
+    const auto overdue = std::max<time_point::duration>(least_overdue, length / 2);
+    return predicted + (confirmable ? overdue : time_point::duration{0}) > now ? std::nullopt
+                                                                               : std::optional(predicted);
+}
+
+/// Takes over the state after a pass that ended at @a end. VMs see when a read or an answer ends, so the simulation
+/// only brings requests close to their end.
+void complete_pass(engine_schedule& load, const std::vector<engine_work>& next, time_point end)
+{
+    std::ranges::transform(next, load.work_, load.work_.begin(), [&](engine_work after, const engine_work& before) {
+        const token_count least{std::min(least_unread_tokens, before.unread_.get())};
+        after.unread_ = before.generating_ ? token_count{0} : std::max(after.unread_, least);
+        after.answer_left_ = std::max(after.answer_left_, token_count{1});
+        return after;
+    });
+    load.simulated_until_ = end;
+}
+
 }  // namespace
 
+milliseconds caller_patience(milliseconds target, milliseconds max_gap)
+{
+    return std::max({least_patience, target * patience_goals, max_gap * patience_gaps});
+}
+
 double value_of(token_count prompt, token_count answer)
 {
     return 1.0 + (static_cast<double>(prompt.get()) + answer_token_weight * static_cast<double>(answer.get())) /
                      tokens_per_value;
 }
 
+double expected_value(const engine_work& request, double after_ms)
+{
+    const auto goal = static_cast<double>(request.target_.count());
+    const double in_time = 1.0 / (1.0 + std::exp((after_ms - goal) / (goal_spread * goal)));
+    const bool waits = after_ms < static_cast<double>(request.patience_.count());
+    const double late = waits ? late_value / (1.0 + std::max(0.0, after_ms - goal) / goal) : 0.0;
+    return request.value_ * (in_time + (1.0 - in_time) * late);
+}
+
+double reading_alone_ms(const engine_profile& profile, token_count prompt)
+{
+    engine_work alone;
+    alone.prompt_ = prompt;
+    alone.unread_ = prompt;
+    return reading_ms(alone, prompt.get(), profile);
+}
+
+token_count memory_used(const engine_schedule& load)
+{
+    const auto tokens = [](std::int64_t sum, const engine_work& request) {
+        return sum + request.prompt_.get() + request.answer_left_.get();
+    };
+    return token_count{std::accumulate(load.work_.begin(), load.work_.end(), std::int64_t{0}, tokens)};
+}
+
+int slots_used(const engine_schedule& load)
+{
+    return static_cast<int>(std::ranges::count_if(load.work_, std::logical_not{}, &engine_work::helps_));
+}
+
 void advance(engine_schedule& load, const engine_profile& profile, double pace, time_point now)
 {
     while (!load.work_.empty())
     {
+        if (load.pass_end_ && *load.pass_end_ <= load.simulated_until_)
+        {
+            take_first_tokens(load);
+        }
         auto next = load.work_;
         const auto made = make_pass(next, profile, pace, load.simulated_until_);
-        const auto end =
-            load.simulated_until_ + std::chrono::duration_cast<time_point::duration>(float_ms(made.length_ms_));
-        if (end > now || made.length_ms_ <= 0.0)
+        if (made.length_ms_ <= 0.0)
+        {
+            take_first_tokens(load);
+            // The engine is idle, as one that only holds memory is, until the next request arrives.
+            load.simulated_until_ = std::min(now, first_arrival_after(load.work_, load.simulated_until_));
+            if (load.simulated_until_ == now)
+            {
+                break;
+            }
+            continue;
+        }
+        const auto end = end_of_pass(load, made, now);
+        if (!end)
         {
             break;
         }
-        // VMs see when a read or an answer ends, so the simulation only brings requests close to their end.
-        std::ranges::transform(next, load.work_, load.work_.begin(), [&](engine_work after, const engine_work& before) {
-            const token_count least{std::min(least_unread_tokens, before.prompt_.get())};
-            after.unread_ = before.generating_ ? token_count{0} : std::max(after.unread_, least);
-            after.answer_left_ = std::max(after.answer_left_, token_count{1});
-            return after;
-        });
-        load.simulated_until_ = end;
+        if (*end == load.pass_end_ && is_begin_of(load, made))
+        {
+            load.simulated_until_ = *end;
+        }
+        else
+        {
+            complete_pass(load, next, *end);
+        }
+        if (*end == load.pass_end_)
+        {
+            take_first_tokens(load);
+        }
     }
-    if (load.work_.empty() || std::ranges::all_of(load.work_, [&load](const engine_work& request) {
-            return request.sent_at_ > load.simulated_until_;
-        }))
+    if (load.work_.empty())
     {
+        take_first_tokens(load);
         load.simulated_until_ = now;
     }
 }
@@ -239,12 +365,22 @@
     load.work_.push_back(added);
 }
 
-void note_first_token(engine_schedule& load, running_key key)
+void note_first_token(engine_schedule& load, running_key key, time_point now)
+{
+    load.first_tokens_.push_back(key);
+    note_pass_end(load, now);
+}
+
+void note_pass_end(engine_schedule& load, time_point now)
+{
+    load.pass_end_ = now;
+}
+
+void note_part_read(engine_schedule& load, running_key key)
 {
     const auto found = std::ranges::find(load.work_, key, &engine_work::key_);
     if (found != load.work_.end())
     {
-        found->generating_ = true;
         found->unread_ = token_count{0};
     }
 }
@@ -267,17 +403,15 @@
 placement_forecast forecast_placement(const engine_schedule& load, const engine_profile& profile, double pace,
                                       const engine_work& candidate, time_point now)
 {
-    const auto tokens = [](std::int64_t sum, const engine_work& request) {
-        return sum + request.prompt_.get() + request.answer_left_.get();
-    };
-    const auto used = std::accumulate(load.work_.begin(), load.work_.end(), std::int64_t{0}, tokens);
     future without{load.work_, load.simulated_until_};
     if (!without.work_.empty())
     {
         // The candidate comes too late for the pass that is under way.
         simulate_pass(without, profile, pace, candidate.key_, now);
     }
-    without.start_ = std::max(without.start_, now);
+    // A pass that is overdue is expected to take half as long again.
+    without.start_ =
+        without.start_ < now && !load.work_.empty() ? now + (now - without.start_) / 2 : std::max(without.start_, now);
     future with = without;
     with.work_.push_back(candidate);
     with.work_.back().sent_at_ = now;
@@ -286,8 +420,8 @@
     placement_forecast result;
     result.first_token_ = milliseconds{static_cast<std::int64_t>(with.candidate_ms_)};
     result.benefit_ = (with.value_ - with.lost_) - (without.value_ - without.lost_);
-    result.fits_ =
-        static_cast<int>(load.work_.size()) < profile.slots_ && tokens(used, candidate) <= profile.kv_capacity_.get();
+    const auto used = memory_used(load).get() + candidate.prompt_.get() + candidate.answer_left_.get();
+    result.fits_ = slots_used(load) < profile.slots_ && used <= profile.kv_capacity_.get();
     return result;
 }
 
--- a/packages/decisions/src/process/shared_retry_budget.cpp
+++ b/packages/decisions/src/process/shared_retry_budget.cpp
@@ -1,6 +1,7 @@
 #include "cornelstall/decisions/process/shared_retry_budget.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cornelstall
 {
@@ -16,8 +17,17 @@
     }
 }
 
+/// VMs that may run beside each known one: a third more are added on a day at most, and replaced ones may still send.
+constexpr double unknown_vms = 1.0 / 3.0;
+
 }  // namespace
 
+void divide_among(shared_retry_budget& budget, std::size_t known)
+{
+    const auto most = static_cast<std::size_t>(std::ceil(static_cast<double>(known) * (1.0 + unknown_vms)));
+    budget.vms_ = std::max(budget.vms_, most);
+}
+
 void note_request(shared_retry_budget& budget, const service_id& service, time_point now)
 {
     auto& record = budget.services_[service];
--- a/packages/decisions/src/request/server_choice.cpp
+++ b/packages/decisions/src/request/server_choice.cpp
@@ -1,6 +1,7 @@
 #include "cornelstall/decisions/request/server_choice.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <ranges>
 #include <set>
@@ -16,6 +17,15 @@
 constexpr double other_data_centre_cost = 0.002;
 /// A request that finds no slot or memory waits in the engine's queue; it goes there only when nothing else fits.
 constexpr double full_engine_cost = 100.0;
+/// What the first request of an idle engine must bring more: streams are kept together, so that long prompts find
+/// engines without streams.
+constexpr double idle_engine_cost = 0.15;
+/// Engines with more than this part of their slots in use are left to requests of VMs that decide at the same moment:
+/// each slot beyond costs this much.
+constexpr double comfortable_slots = 0.65;
+constexpr double crowded_slot_cost = 0.15;
+/// Benefits closer than this are equal, so that VMs that decide at the same moment spread over several engines.
+constexpr double benefit_step = 0.04;
 /// Plain calls leave their data centre when their own servers have this many requests more.
 constexpr double other_data_centre_requests = 1.0;
 
@@ -61,9 +71,10 @@
     return unreachable;
 }
 
-std::uint64_t tie_breaker(const server_id& id, std::uint64_t draw)
+double crowding_cost(const engine_schedule& load, const engine_profile& profile)
 {
-    return std::hash<server_id>{}(id) ^ draw;
+    const double beyond = slots_used(load) + 1 - comfortable_slots * profile.slots_;
+    return std::max(0.0, beyond) * crowded_slot_cost;
 }
 
 ranked_server rank_engine(known_server& server, engine_schedule& load, const engine_profile& profile,
@@ -73,7 +84,8 @@
     ranked_server ranked;
     ranked.server_ = &server;
     ranked.forecast_ = forecast_placement(load, profile, server.pace_, request.work_, now);
-    ranked.benefit_ = ranked.forecast_.benefit_ - (ranked.forecast_.fits_ ? 0.0 : full_engine_cost);
+    ranked.benefit_ = ranked.forecast_.benefit_ - (ranked.forecast_.fits_ ? 0.0 : full_engine_cost) -
+                      (load.work_.empty() ? idle_engine_cost : 0.0) - crowding_cost(load, profile);
     return ranked;
 }
 
@@ -89,6 +101,11 @@
 
 }  // namespace
 
+std::uint64_t tie_breaker(const server_id& id, std::uint64_t draw)
+{
+    return std::hash<server_id>{}(id) ^ draw;
+}
+
 server_choice choose_server(server_directory& directory, fleet_load& load, const service_description& service,
                             const choice_request& request, time_point now)
 {
@@ -111,8 +128,9 @@
         }
         ranked.push_back(entry);
     });
-    const auto best = std::ranges::min_element(
-        ranked, {}, [](const ranked_server& entry) { return std::tuple(entry.avoided_, -entry.benefit_, entry.tie_); });
+    const auto best = std::ranges::min_element(ranked, {}, [](const ranked_server& entry) {
+        return std::tuple(entry.avoided_, -std::round(entry.benefit_ / benefit_step), entry.tie_);
+    });
     if (best == ranked.end())
     {
         return {};
--- a/packages/gateway/include/cornelstall/gateway.hpp
+++ b/packages/gateway/include/cornelstall/gateway.hpp
@@ -17,5 +17,6 @@
 #include "cornelstall/gateway/process/record_log.hpp"
 #include "cornelstall/gateway/process/server_list.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
+#include "cornelstall/gateway/request/memory_lease.hpp"
 #include "cornelstall/gateway/request/protocol.hpp"
 #include "cornelstall/gateway/version/follow_table.hpp"
--- a/packages/gateway/include/cornelstall/gateway/connection/http_client.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/http_client.hpp
@@ -2,6 +2,9 @@
 
 #include <string>
 
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
 #include "cornelstall/gateway/connection/backend_socket.hpp"
 
 namespace cornelstall
@@ -23,6 +26,12 @@
     std::shared_ptr<limited_socket> connection_;
 };
 
+/// @brief Makes one call with a message whose target, fields and body are set.
+/// @param limit until the whole answer has arrived, connecting included
+[[nodiscard]] task<client_answer> call(std::shared_ptr<http_client> client,
+                                       boost::beast::http::request<boost::beast::http::string_body> request,
+                                       milliseconds limit);
+
 /// @brief Makes one call.
 /// @param limit until the whole answer has arrived, connecting included
 [[nodiscard]] task<client_answer> call(std::shared_ptr<http_client> client, std::string method, std::string target,
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -47,6 +47,7 @@
 
     bool stopping_ = false;  ///< SIGTERM arrived
     std::size_t open_requests_ = 0;
+    std::size_t open_leases_ = 0;  ///< reservations of engine memory that are not released yet
     std::set<std::shared_ptr<caller_socket>> idle_callers_;
 };
 
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -44,7 +44,8 @@
     time_point deadline_;
     std::shared_ptr<caller_watch> watch_;
 
-    running_key running_;  ///< the present send in the load that VMs tell one another
+    running_key running_;               ///< the present send in the load that VMs tell one another
+    std::vector<read_helper> helpers_;  ///< engines that read a part of the prompt in the present send
     std::vector<server_id> tried_;
     int sends_ = 0;                                  ///< servers that were tried
     int arrivals_ = 0;                               ///< servers that were reached
@@ -76,6 +77,12 @@
 [[nodiscard]] task<bool> serve_request(gateway_state& state, std::shared_ptr<caller_socket> caller,
                                        http_request request, time_point arrived);
 
+/// @brief Sends the request to servers until one answers or nothing more may be tried.
+[[nodiscard]] task<send_end> try_servers(exchange& current);
+
+/// @brief Text of @a end for log lines and counters.
+[[nodiscard]] const char* name_of(send_end end);
+
 /// @brief Sends the request of @a current to @a server and relays the answer.
 [[nodiscard]] task<send_end> send_to_server(exchange& current, listed_server server, placement_forecast forecast);
 
--- a/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
@@ -27,6 +28,31 @@
     std::optional<std::uint64_t> resume_after_;  ///< id of the last event that the caller has
 };
 
+/// @brief An engine that reads a part of a prompt for the engine that the request is sent to.
+struct read_helper
+{
+    socket_address address_;
+    std::string reservation_;  ///< memory reserved there that holds a part of the prompt; empty when there is none
+};
+
+/// @brief An order to a backend server about its memory.
+struct memory_order
+{
+    server_id server_;  ///< any other server must refuse the order
+    std::string reservation_;
+    token_count tokens_{0};
+    milliseconds hold_{0};  ///< the reservation ends by itself after this time unless it is made again
+    bool release_ = false;  ///< ends the reservation instead of making or renewing it
+};
+
+/// @brief What became of a memory order.
+enum class order_end
+{
+    done,
+    refused,
+    unknown  ///< the server may have carried it out, or may do so later
+};
+
 /// @brief What is sent to a backend server beside the caller's own message.
 struct forward_details
 {
@@ -35,6 +61,7 @@
     milliseconds time_left_{0};
     int urgency_ = 0;  ///< 0 is the most urgent
     std::optional<std::uint64_t> resume_after_;
+    std::vector<read_helper> helpers_;
 };
 
 /// @brief What the head of a backend server's answer says.
@@ -46,6 +73,7 @@
     bool other_server_ = false;  ///< another server has the address now
     bool genuine_ = false;       ///< carries the mark without which a success does not count
     bool encoded_ = false;       ///< the body is not the server's own bytes
+    std::string at_fault_;       ///< id or address of another server on whose account the request did not run
 };
 
 /// @brief How a deployment's messages are read and written.
@@ -59,6 +87,10 @@
     std::function<void(boost::beast::http::fields&)> strip_answer_fields_;
     /// Adds what every answer of this VM's own carries.
     std::function<void(const caller_request&, boost::beast::http::fields&)> write_own_fields_;
+    std::function<boost::beast::http::request<boost::beast::http::string_body>(const memory_order&)>
+        write_memory_order_;
+    /// @param status 0 when there was no answer
+    std::function<order_end(unsigned status)> read_order_end_;
 };
 
 }  // namespace cornelstall
--- a/packages/gateway/src/connection/http_client.cpp
+++ b/packages/gateway/src/connection/http_client.cpp
@@ -40,8 +40,8 @@
 
 }  // namespace
 
-task<client_answer> call(std::shared_ptr<http_client> client, std::string method, std::string target, std::string body,
-                         std::string content_type, milliseconds limit)
+task<client_answer> call(std::shared_ptr<http_client> client, http::request<http::string_body> request,
+                         milliseconds limit)
 {
     const auto deadline = std::chrono::steady_clock::now() + limit;
     const bool connected = co_await connect(client, deadline);
@@ -51,13 +51,7 @@
     }
     const auto connection = client->connection_;
     limit_until(*connection, deadline);
-    http::request<http::string_body> request(http::string_to_verb(method), target, 11);
     request.set(http::field::host, client->address_);
-    if (!content_type.empty())
-    {
-        request.set(http::field::content_type, content_type);
-    }
-    request.body() = std::move(body);
     request.prepare_payload();
     boost::system::error_code failed;
     co_await http::async_write(connection->socket_, request, redirect_error(use_awaitable, failed));
@@ -82,4 +76,17 @@
     co_return client_answer{answer.result_int(), std::move(answer.body())};
 }
 
+task<client_answer> call(std::shared_ptr<http_client> client, std::string method, std::string target, std::string body,
+                         std::string content_type, milliseconds limit)
+{
+    http::request<http::string_body> request(http::string_to_verb(method), target, 11);
+    if (!content_type.empty())
+    {
+        request.set(http::field::content_type, content_type);
+    }
+    request.body() = std::move(body);
+    auto answer = co_await call(std::move(client), std::move(request), limit);
+    co_return answer;
+}
+
 }  // namespace cornelstall
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -116,6 +116,7 @@
     }
     if (!known)
     {
+        divide_among(state.retry_budget_, state.peers_.peers_.size() + 1);
         log_event(severity::info, peer_found, "a VM reports its load",
                   {{"vm", report->vm_.get()}, {"address", report->address_.get()}});
     }
--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -58,10 +58,10 @@
     return {200, state.metrics_.exposition()};
 }
 
-/// Waits until the open requests are finished, at most until @a deadline.
+/// Waits until the open requests are finished and the memory reserved for them is released, at most until @a deadline.
 task<> finish_requests(gateway_state& state, time_point deadline)
 {
-    while (state.open_requests_ > 0 && clock::now() < deadline)
+    while (state.open_requests_ + state.open_leases_ > 0 && clock::now() < deadline)
     {
         co_await sleep_for(stop_check);
     }
--- a/packages/gateway/src/process/gateway_state.cpp
+++ b/packages/gateway/src/process/gateway_state.cpp
@@ -38,7 +38,7 @@
       incarnation_(incarnation_now())
 {
     retry_budget_.bound_ = settings_.retry_budget_;
-    retry_budget_.vms_ = settings_.most_vms_;
+    retry_budget_.vms_ = settings_.least_vms_;
 }
 
 std::chrono::nanoseconds boot_time()
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -30,10 +30,6 @@
 constexpr milliseconds forecast_slack{1500};
 /// Plain calls that may be repeated are given up after this many times their goal.
 constexpr int plain_goals = 4;
-/// Callers abandon a stream after a pause of the longest of these: a time, times of its goal, times of its pause.
-constexpr milliseconds caller_patience{2000};
-constexpr int caller_patience_goals = 4;
-constexpr int caller_patience_gaps = 8;
 /// A silent server is left before the caller gives up, and after this long at most.
 constexpr double patience_share = 0.85;
 constexpr milliseconds longest_silence{4000};
@@ -58,6 +54,7 @@
     details.organisation_ = current.organisation_;
     details.time_left_ = time_left(current);
     details.urgency_ = current.priority_;
+    details.helpers_ = current.helpers_;
     details.resume_after_ = current.last_event_ ? current.last_event_ : current.facts_.resume_after_;
     http_request message = current.request_;
     current.state_.protocol_.write_forward_fields_(details, message);
@@ -94,8 +91,7 @@
 
 milliseconds silence_limit(const route& matched)
 {
-    const auto patience = std::max({caller_patience, matched.latency_target_ * caller_patience_goals,
-                                    matched.max_event_gap_ * caller_patience_gaps});
+    const auto patience = caller_patience(matched.latency_target_, matched.max_event_gap_);
     const milliseconds share{static_cast<std::int64_t>(static_cast<double>(patience.count()) * patience_share)};
     return std::min(share, longest_silence);
 }
@@ -177,9 +173,19 @@
     return nullptr;
 }
 
+/// The server with the id or the address @a name.
+known_server* find_named(server_directory& directory, const std::string& name)
+{
+    const auto found = std::ranges::find_if(directory.servers_, [&name](const auto& entry) {
+        return entry.first.get() == name || entry.second.listed_.address_.get() == name;
+    });
+    return found == directory.servers_.end() ? nullptr : &found->second;
+}
+
 send_end note_not_run(exchange& current, const listed_server& server, const server_answer& answer)
 {
-    auto* const known = find_server(current.state_.directory_, server.id_);
+    auto* const known = answer.at_fault_.empty() ? find_server(current.state_.directory_, server.id_)
+                                                 : find_named(current.state_.directory_, answer.at_fault_);
     const auto now = std::chrono::steady_clock::now();
     if (known != nullptr && answer.other_server_)
     {
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -19,169 +19,19 @@
 
 constexpr event_kind refused{1021, "request_answered_by_vm"};
 constexpr event_kind served{1022, "request_served"};
-constexpr event_kind sent{1023, "server_chosen"};
-constexpr event_kind send_ended{1024, "send_ended"};
 
 /// A refused caller that comes back sooner meets the same state.
 constexpr milliseconds retry_soon{300};
+/// Engines that have no room for a long prompt are busy with long reads for about this long.
+constexpr milliseconds retry_for_engines{2500};
 /// A VM without a configuration needs about this long to read it.
 constexpr milliseconds retry_later{1000};
-/// Sends that servers refused do not count as runs; this many more are made.
-constexpr int extra_sends = 2;
 
 std::string text_of(milliseconds value)
 {
     return std::to_string(value.count());
 }
 
-const char* name_of(send_end end)
-{
-    constexpr std::array<const char*, 6> names{"answered",      "did_not_run", "may_have_run",
-                                               "server_failed", "broken_off",  "out_of_time"};
-    return names.at(static_cast<std::size_t>(end));
-}
-
-engine_work work_of(exchange& current)
-{
-    engine_work work;
-    work.key_ = make_running_key(current.state_);
-    work.prompt_ = current.facts_.prompt_.value_or(token_count{0});
-    work.unread_ = work.prompt_;
-    work.answer_left_ = current.facts_.answer_estimate_.value_or(token_count{0});
-    if (work.answer_left_ == token_count{0} && current.service_->engine_)
-    {
-        work.answer_left_ = current.service_->engine_->usual_answer_;
-    }
-    if (current.facts_.answer_limit_)
-    {
-        work.answer_left_ = std::min(work.answer_left_, *current.facts_.answer_limit_);
-    }
-    work.priority_ = current.priority_;
-    work.target_ = current.route_->latency_target_;
-    work.max_gap_ = current.route_->max_event_gap_;
-    work.late_ = current.late_;
-    work.arrived_ = current.arrived_;
-    work.sent_at_ = std::chrono::steady_clock::now();
-    work.value_ = value_of(work.prompt_, work.answer_left_);
-    return work;
-}
-
-/// Puts the request into the load that VMs tell one another, for as long as it lives.
-class load_entry
-{
-  public:
-    load_entry(gateway_state& state, server_id server, engine_work work)
-        : state_(state), server_(std::move(server)), key_(work.key_)
-    {
-        add_work(state_.load_.engines_[server_], work, std::chrono::steady_clock::now());
-        state_.own_work_.push_back({server_, work});
-        state_.on_load_changed_();
-    }
-    load_entry(const load_entry&) = delete;
-    load_entry& operator=(const load_entry&) = delete;
-    load_entry(load_entry&&) = delete;
-    load_entry& operator=(load_entry&&) = delete;
-    ~load_entry()
-    {
-        remove_work(state_.load_.engines_[server_], key_);
-        std::erase_if(state_.own_work_, [this](const reported_work& entry) { return entry.work_.key_ == key_; });
-        state_.on_load_changed_();
-    }
-
-  private:
-    gateway_state& state_;
-    server_id server_;
-    running_key key_;
-};
-
-server_choice choose(exchange& current, const engine_work& work, time_point now)
-{
-    auto& state = current.state_;
-    const choice_request wanted{current.service_->id_, work, state.settings_.data_centre_, current.tried_,
-                                state.random_()};
-    return choose_server(state.directory_, state.load_, *current.service_, wanted, now);
-}
-
-/// True when another server may be tried after a send that ended with @a end.
-bool may_send_again(const exchange& current, send_end end)
-{
-    return (end == send_end::did_not_run || may_repeat(current)) &&
-           current.possible_runs_ < current.route_->max_attempts_ &&
-           current.sends_ < current.route_->max_attempts_ + extra_sends;
-}
-
-void log_choice(const exchange& current, const server_choice& choice)
-{
-    log_event(severity::info, sent, "a server was chosen",
-              {{"request", current.facts_.id_.get()},
-               {"server", choice.server_->listed_.id_.get()},
-               {"send", std::to_string(current.sends_)},
-               {"considered", std::to_string(choice.considered_)},
-               {"first_token_ms", text_of(choice.forecast_.first_token_)},
-               {"fits", choice.forecast_.fits_ ? "1" : "0"}});
-}
-
-void learn_from(exchange& current, const server_id& id, send_end end)
-{
-    auto* const server = find_server(current.state_.directory_, id);
-    if (server == nullptr)
-    {
-        return;
-    }
-    if (end == send_end::answered)
-    {
-        note_success(*server);
-    }
-    else if (end == send_end::may_have_run || end == send_end::server_failed)
-    {
-        note_failure(*server, std::chrono::steady_clock::now());
-    }
-}
-
-/// Sends the request to servers until one answers or nothing more may be tried.
-task<send_end> try_servers(exchange& current)
-{
-    auto end = send_end::did_not_run;
-    while (true)
-    {
-        const auto now = std::chrono::steady_clock::now();
-        if (now >= current.deadline_)
-        {
-            co_return send_end::out_of_time;
-        }
-        auto work = work_of(current);
-        const auto choice = choose(current, work, now);
-        if (choice.server_ == nullptr)
-        {
-            co_return end;
-        }
-        if (current.arrivals_ > 0 && !take_repeat(current.state_.retry_budget_, current.service_->id_, now))
-        {
-            current.state_.metrics_.count("gateway_retries_refused_total", {{"reason", "budget"}});
-            co_return end;
-        }
-        ++current.sends_;
-        const auto server = choice.server_->listed_;
-        current.tried_.push_back(server.id_);
-        log_choice(current, choice);
-        const load_entry running(current.state_, server.id_, work);
-        current.running_ = work.key_;
-        end = co_await send_to_server(current, server, choice.forecast_);
-        current.state_.metrics_.count("gateway_sends_total", {{"end", name_of(end)}});
-        log_event(severity::info, send_ended, name_of(end),
-                  {{"request", current.facts_.id_.get()}, {"server", server.id_.get()}});
-        learn_from(current, server.id_, end);
-        if (end == send_end::answered || end == send_end::broken_off || end == send_end::out_of_time)
-        {
-            co_return end;
-        }
-        if (!may_send_again(current, end))
-        {
-            co_return end;
-        }
-    }
-}
-
 /// The answer to a request that no server answered.
 task<> finish_unanswered(exchange& current, send_end end)
 {
@@ -199,8 +49,9 @@
     }
     if (current.possible_runs_ == 0)
     {
-        co_await answer_ourselves(current, 503, current.sends_ == 0 ? "no_server_ready" : "servers_refused",
-                                  retry_soon);
+        const bool long_prompt = current.service_->engine_ && current.route_->latency_target_ > retry_for_engines;
+        const char* const reason = current.sends_ > 0 ? "servers_refused" : "no_server_free";
+        co_await answer_ourselves(current, 503, reason, long_prompt ? retry_for_engines : retry_soon);
         co_return;
     }
     const bool late = end == send_end::out_of_time;
--- /dev/null
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -0,0 +1,336 @@
+#include <algorithm>
+#include <array>
+
+#include "cornelstall/gateway/request/exchange.hpp"
+#include "cornelstall/gateway/request/memory_lease.hpp"
+
+namespace cornelstall
+{
+
+namespace
+{
+
+constexpr event_kind sent{1023, "server_chosen"};
+constexpr event_kind send_ended{1024, "send_ended"};
+constexpr event_kind joined{1029, "engines_joined"};
+
+/// Sends that servers refused do not count as runs; this many more are made.
+constexpr int extra_sends = 2;
+/// Sets of engines that may refuse memory before the request is refused.
+constexpr int most_refused_plans = 3;
+/// A request that would cost others more than it brings waits for this part of its goal for engines to become free;
+/// then it is refused, since it could no longer be in time.
+constexpr double placement_wait_share = 0.35;
+constexpr milliseconds placement_retry{100};
+/// Prompts are read by several engines when a single one needs more than this part of the goal.
+constexpr double joint_read_share = 0.5;
+
+/// Where a request is sent, and what the engines concerned then have to do.
+struct send_plan
+{
+    listed_server server_;
+    placement_forecast forecast_;
+    std::size_t considered_ = 0;
+    std::vector<joint_part> parts_;  ///< the answering engine first
+};
+
+engine_work work_of(exchange& current)
+{
+    engine_work work;
+    work.key_ = make_running_key(current.state_);
+    work.prompt_ = current.facts_.prompt_.value_or(token_count{0});
+    work.unread_ = work.prompt_;
+    work.answer_left_ = current.facts_.answer_estimate_.value_or(token_count{0});
+    if (work.answer_left_ == token_count{0} && current.service_->engine_)
+    {
+        work.answer_left_ = current.service_->engine_->usual_answer_;
+    }
+    if (current.facts_.answer_limit_)
+    {
+        work.answer_left_ = std::min(work.answer_left_, *current.facts_.answer_limit_);
+    }
+    work.priority_ = current.priority_;
+    work.target_ = current.route_->latency_target_;
+    work.max_gap_ = current.route_->max_event_gap_;
+    work.patience_ = std::min(caller_patience(work.target_, work.max_gap_),
+                              std::chrono::duration_cast<milliseconds>(current.deadline_ - current.arrived_));
+    work.late_ = current.late_;
+    work.arrived_ = current.arrived_;
+    work.sent_at_ = std::chrono::steady_clock::now();
+    work.value_ = value_of(work.prompt_, work.answer_left_);
+    return work;
+}
+
+/// Puts the parts of a request into the load that VMs tell one another, for as long as it lives.
+class load_entry
+{
+  public:
+    load_entry(gateway_state& state, const std::vector<joint_part>& parts, running_key key) : state_(state), key_(key)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        std::ranges::for_each(parts, [&](const joint_part& part) {
+            add_work(state_.load_.engines_[part.server_.id_], part.work_, now);
+            state_.own_work_.push_back({part.server_.id_, part.work_});
+            servers_.push_back(part.server_.id_);
+        });
+        state_.on_load_changed_();
+    }
+    load_entry(const load_entry&) = delete;
+    load_entry& operator=(const load_entry&) = delete;
+    load_entry(load_entry&&) = delete;
+    load_entry& operator=(load_entry&&) = delete;
+    ~load_entry()
+    {
+        std::ranges::for_each(servers_,
+                              [this](const server_id& server) { remove_work(state_.load_.engines_[server], key_); });
+        std::erase_if(state_.own_work_, [this](const reported_work& entry) { return entry.work_.key_ == key_; });
+        state_.on_load_changed_();
+    }
+
+  private:
+    gateway_state& state_;
+    std::vector<server_id> servers_;
+    running_key key_;
+};
+
+/// Memory reserved for one send; released when the send is over.
+class held_memory
+{
+  public:
+    held_memory() = default;
+    held_memory(const held_memory&) = delete;
+    held_memory& operator=(const held_memory&) = delete;
+    held_memory(held_memory&&) = delete;
+    held_memory& operator=(held_memory&&) = delete;
+    ~held_memory()
+    {
+        release();
+    }
+
+    void add(std::shared_ptr<memory_lease> lease)
+    {
+        leases_.push_back(std::move(lease));
+    }
+
+    void release()
+    {
+        std::ranges::for_each(leases_, [](const std::shared_ptr<memory_lease>& lease) { end_lease(*lease); });
+        leases_.clear();
+    }
+
+  private:
+    std::vector<std::shared_ptr<memory_lease>> leases_;
+};
+
+bool exceeds_one_engine(const exchange& current, const engine_work& work)
+{
+    return current.service_->engine_ &&
+           work.prompt_.get() + work.answer_left_.get() > current.service_->engine_->kv_capacity_.get();
+}
+
+/// True when a single engine meets the goal so well that others need not help.
+bool is_good_alone(const engine_work& work, const placement_forecast& forecast, time_point now)
+{
+    const auto waited = std::chrono::duration_cast<milliseconds>(now - work.arrived_);
+    const auto limit = joint_read_share * static_cast<double>(work.target_.count());
+    return forecast.fits_ && static_cast<double>((waited + forecast.first_token_).count()) <= limit;
+}
+
+std::optional<send_plan> plan_send(exchange& current, const engine_work& work, time_point now)
+{
+    auto& state = current.state_;
+    const choice_request wanted{current.service_->id_, work, state.settings_.data_centre_, current.tried_,
+                                state.random_()};
+    const bool too_large = exceeds_one_engine(current, work);
+    const auto choice = choose_server(state.directory_, state.load_, *current.service_, wanted, now);
+    if (choice.server_ == nullptr)
+    {
+        return std::nullopt;
+    }
+    if (current.service_->engine_ && (too_large || !is_good_alone(work, choice.forecast_, now)))
+    {
+        const auto alone =
+            !too_large && choice.forecast_.fits_ ? std::optional(choice.forecast_.benefit_) : std::nullopt;
+        auto joint = choose_joint_read(state.directory_, state.load_, *current.service_, wanted, alone, now);
+        if (joint)
+        {
+            const auto server = joint->parts_.front().server_;
+            return send_plan{server, joint->forecast_, choice.considered_, std::move(joint->parts_)};
+        }
+    }
+    if (too_large || choice.forecast_.benefit_ < 0.0)
+    {
+        return std::nullopt;
+    }
+    const auto& server = choice.server_->listed_;
+    return send_plan{server, choice.forecast_, choice.considered_, {{server, work, token_count{0}}}};
+}
+
+/// True when another server may be tried after a send that ended with @a end.
+bool may_send_again(const exchange& current, send_end end)
+{
+    return (end == send_end::did_not_run || may_repeat(current)) &&
+           current.possible_runs_ < current.route_->max_attempts_ &&
+           current.sends_ < current.route_->max_attempts_ + extra_sends;
+}
+
+void log_plan(const exchange& current, const send_plan& plan)
+{
+    log_event(severity::info, sent, "a server was chosen",
+              {{"request", current.facts_.id_.get()},
+               {"server", plan.server_.id_.get()},
+               {"send", std::to_string(current.sends_)},
+               {"considered", std::to_string(plan.considered_)},
+               {"first_token_ms", std::to_string(plan.forecast_.first_token_.count())},
+               {"fits", plan.forecast_.fits_ ? "1" : "0"}});
+    std::ranges::for_each(plan.parts_, [&](const joint_part& part) {
+        if (part.work_.helps_)
+        {
+            log_event(severity::info, joined, "an engine reads a part of the prompt",
+                      {{"request", current.facts_.id_.get()},
+                       {"server", part.server_.id_.get()},
+                       {"reads", std::to_string(part.work_.unread_.get())},
+                       {"reserved", std::to_string(part.reserved_.get())}});
+        }
+    });
+}
+
+void learn_from(exchange& current, const server_id& id, send_end end)
+{
+    auto* const server = find_server(current.state_.directory_, id);
+    if (server == nullptr)
+    {
+        return;
+    }
+    if (end == send_end::answered)
+    {
+        note_success(*server);
+    }
+    else if (end == send_end::may_have_run || end == send_end::server_failed)
+    {
+        note_failure(*server, std::chrono::steady_clock::now());
+    }
+}
+
+std::string reservation_name(const exchange& current, std::size_t part)
+{
+    return current.state_.settings_.name_ + "-" + std::to_string(current.running_.get()) + "-" + std::to_string(part);
+}
+
+/// Reserves the memory that @a plan needs, all or nothing, and notes the helpers for the message to the server.
+/// @return false when an engine did not grant it; it is then avoided for a moment
+task<bool> reserve_memory(exchange& current, const send_plan& plan, held_memory& held)
+{
+    current.helpers_.clear();
+    for (std::size_t index = 1; index < plan.parts_.size(); ++index)
+    {
+        const auto& part = plan.parts_[index];
+        std::string reservation;
+        if (part.reserved_.get() > 0)
+        {
+            reservation = reservation_name(current, index);
+            const auto lease =
+                std::make_shared<memory_lease>(current.state_, part.server_, reservation, part.reserved_);
+            const auto end = co_await begin_lease(lease);
+            if (end != order_end::done)
+            {
+                held.release();
+                if (auto* const known = find_server(current.state_.directory_, part.server_.id_))
+                {
+                    note_full(*known, std::chrono::steady_clock::now());
+                }
+                co_return false;
+            }
+            held.add(lease);
+        }
+        current.helpers_.push_back({part.server_.address_, std::move(reservation)});
+    }
+    co_return true;
+}
+
+/// Waits for engines that can take the request.
+/// @return the plan, or nothing when the request is better refused
+task<std::optional<send_plan>> await_plan(exchange& current)
+{
+    const auto give_up = current.arrived_ + std::chrono::duration_cast<time_point::duration>(
+                                                current.route_->latency_target_ * placement_wait_share);
+    while (true)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        auto work = work_of(current);
+        auto plan = plan_send(current, work, now);
+        if (plan || now >= std::min(give_up, current.deadline_) || current.watch_->left_)
+        {
+            co_return plan;
+        }
+        co_await sleep_for(placement_retry);
+    }
+}
+
+/// Makes one send as @a plan says.
+task<send_end> send_as_planned(exchange& current, const send_plan& plan)
+{
+    ++current.sends_;
+    current.tried_.push_back(plan.server_.id_);
+    log_plan(current, plan);
+    const load_entry running(current.state_, plan.parts_, current.running_);
+    const auto end = co_await send_to_server(current, plan.server_, plan.forecast_);
+    current.state_.metrics_.count("gateway_sends_total", {{"end", name_of(end)}});
+    log_event(severity::info, send_ended, name_of(end),
+              {{"request", current.facts_.id_.get()}, {"server", plan.server_.id_.get()}});
+    learn_from(current, plan.server_.id_, end);
+    co_return end;
+}
+
+}  // namespace
+
+const char* name_of(send_end end)
+{
+    constexpr std::array<const char*, 6> names{"answered",      "did_not_run", "may_have_run",
+                                               "server_failed", "broken_off",  "out_of_time"};
+    return names.at(static_cast<std::size_t>(end));
+}
+
+task<send_end> try_servers(exchange& current)
+{
+    auto end = send_end::did_not_run;
+    int refused_plans = 0;
+    while (true)
+    {
+        const auto plan = co_await await_plan(current);
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= current.deadline_)
+        {
+            co_return send_end::out_of_time;
+        }
+        if (!plan)
+        {
+            co_return end;
+        }
+        current.running_ = plan->parts_.front().work_.key_;
+        held_memory held;
+        const bool reserved = co_await reserve_memory(current, *plan, held);
+        if (!reserved)
+        {
+            current.state_.metrics_.count("gateway_sends_refused_total", {{"reason", "memory"}});
+            if (++refused_plans >= most_refused_plans)
+            {
+                co_return end;
+            }
+            continue;
+        }
+        if (current.arrivals_ > 0 && !take_repeat(current.state_.retry_budget_, current.service_->id_, now))
+        {
+            current.state_.metrics_.count("gateway_retries_refused_total", {{"reason", "budget"}});
+            co_return end;
+        }
+        end = co_await send_as_planned(current, *plan);
+        const bool over = end == send_end::answered || end == send_end::broken_off || end == send_end::out_of_time;
+        if (over || !may_send_again(current, end))
+        {
+            co_return end;
+        }
+    }
+}
+
+}  // namespace cornelstall
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -14,6 +14,8 @@
 
 /// Encoded size of one entry at most; keeps a report within one datagram without encoding it twice.
 constexpr std::size_t entry_bytes = 42;
+/// What a part of a joint prompt takes more.
+constexpr std::size_t part_bytes = 12;
 /// Changes that leave room for work in a datagram; older ones are read from the log by whoever lacks them.
 constexpr std::size_t most_changes = 5;
 
@@ -38,6 +40,12 @@
     message.set_target_ms(static_cast<std::uint32_t>(work.target_.count()));
     message.set_max_gap_ms(static_cast<std::uint32_t>(work.max_gap_.count()));
     message.set_late(work.late_);
+    if (work.joint_prompt_.get() > 0)
+    {
+        message.set_joint_prompt_tokens(static_cast<std::uint32_t>(work.joint_prompt_.get()));
+        message.set_part_tokens(static_cast<std::uint32_t>(std::max<std::int64_t>(0, work.unread_.get())));
+        message.set_helps(work.helps_);
+    }
     message.set_age_ms(static_cast<std::uint32_t>(
         std::max<std::int64_t>(0, std::chrono::duration_cast<milliseconds>(now - work.arrived_).count())));
 }
@@ -53,10 +61,18 @@
     work.priority_ = static_cast<int>(message.priority());
     work.target_ = milliseconds{std::max<std::uint32_t>(1, message.target_ms())};
     work.max_gap_ = milliseconds{std::max<std::uint32_t>(1, message.max_gap_ms())};
+    work.patience_ = caller_patience(work.target_, work.max_gap_);
     work.late_ = message.late();
     work.arrived_ = now - milliseconds{message.age_ms()};
     work.sent_at_ = now;
     work.value_ = value_of(work.prompt_, work.answer_left_);
+    if (message.joint_prompt_tokens() > 0)
+    {
+        work.joint_prompt_ = token_count{message.joint_prompt_tokens()};
+        work.unread_ = message.generating() ? token_count{0} : token_count{message.part_tokens()};
+        work.helps_ = message.helps();
+        work.value_ = work.helps_ ? 0.0 : value_of(work.joint_prompt_, work.answer_left_);
+    }
     return work;
 }
 
@@ -146,7 +162,8 @@
     std::size_t bytes = message.ByteSizeLong();
     for (const auto& entry : report.work_)
     {
-        bytes += entry_bytes + (indexes.contains(entry.server_) ? 0 : entry.server_.get().size() + 2);
+        bytes += entry_bytes + (entry.work_.joint_prompt_.get() > 0 ? part_bytes : 0) +
+                 (indexes.contains(entry.server_) ? 0 : entry.server_.get().size() + 2);
         if (bytes > limit.get())
         {
             break;
--- a/tests/decisions/engine_schedule_test.cpp
+++ b/tests/decisions/engine_schedule_test.cpp
@@ -69,7 +69,8 @@
     const time_point now{std::chrono::hours{1}};
     engine_schedule engine;
     add_work(engine, work(1, 5000, short_goal, now), now);
-    note_first_token(engine, running_key{1});
+    note_first_token(engine, running_key{1}, now);
+    advance(engine, profile(), 1.0, now);
     const auto brief = forecast_placement(engine, profile(), 1.0, work(2, 5000, short_goal, now), now);
     const auto lengthy = forecast_placement(engine, profile(), 1.0, work(2, 182000, long_goal, now), now);
     const auto alone = forecast_placement({}, profile(), 1.0, work(2, 182000, long_goal, now), now);
@@ -98,13 +99,106 @@
     REQUIRE(engine.work_.size() == 1);
     CHECK_FALSE(engine.work_.front().generating_);
     CHECK(engine.work_.front().unread_ > token_count{0});
-    note_first_token(engine, running_key{1});
+    note_first_token(engine, running_key{1}, now + std::chrono::seconds{30});
     advance(engine, profile(), 1.0, now + std::chrono::seconds{60});
+    CHECK(engine.work_.front().generating_);
     REQUIRE(engine.work_.size() == 1);
     remove_work(engine, running_key{1});
     CHECK(engine.work_.empty());
 }
 
+TEST_CASE("a read whose end was not seen yet holds back what waits behind it")
+{
+    // Forecasts once took prompts behind a long read for read as soon as the long read should have ended.
+    const time_point now{std::chrono::hours{1}};
+    const auto values = profile();
+    engine_schedule engine;
+    add_work(engine, work(1, 45000, long_goal, now), now);
+    add_work(engine, work(2, 5000, short_goal, now + milliseconds{100}), now + milliseconds{100});
+    const auto predicted = milliseconds{static_cast<std::int64_t>(reading_alone_ms(values, token_count{45000}))};
+    const auto overdue = now + predicted + milliseconds{100};
+    advance(engine, values, 1.0, overdue);
+    CHECK(engine.work_[1].unread_ == token_count{5000});
+    note_first_token(engine, running_key{1}, overdue);
+    advance(engine, values, 1.0, overdue + milliseconds{1});
+    CHECK(engine.work_[0].generating_);
+    CHECK(engine.simulated_until_ == overdue);
+    // A report that never comes does not hold the simulation for long.
+    advance(engine, values, 1.0, overdue + std::chrono::seconds{2});
+    CHECK(engine.work_[1].unread_ < token_count{5000});
+}
+
+TEST_CASE("the events of a pass align the simulation")
+{
+    const time_point now{std::chrono::hours{1}};
+    engine_schedule engine;
+    add_work(engine, work(1, 5000, short_goal, now), now);
+    note_first_token(engine, running_key{1}, now + milliseconds{40});
+    advance(engine, profile(), 1.0, now + milliseconds{41});
+    CHECK(engine.simulated_until_ == now + milliseconds{40});
+    // A pass of one stream takes about 45 ms.
+    note_pass_end(engine, now + milliseconds{92});
+    advance(engine, profile(), 1.0, now + milliseconds{93});
+    CHECK(engine.simulated_until_ == now + milliseconds{92});
+    // News from before the present pass changes nothing.
+    note_pass_end(engine, now + milliseconds{90});
+    advance(engine, profile(), 1.0, now + milliseconds{94});
+    CHECK(engine.simulated_until_ == now + milliseconds{92});
+}
+
+TEST_CASE("a pause that makes callers leave costs more than one that makes them late")
+{
+    // Long reads were placed beside streams that were late already, and their callers abandoned them.
+    const time_point now{std::chrono::hours{1}};
+    auto values = profile();
+    engine_schedule engine;
+    add_work(engine, work(1, 5000, short_goal, now), now);
+    engine.work_.front().generating_ = true;
+    engine.work_.front().unread_ = token_count{0};
+    engine.work_.front().late_ = true;
+    const auto lost = [&](std::int64_t prompt) {
+        const auto candidate = work(2, prompt, long_goal, now);
+        return forecast_placement({}, values, 1.0, candidate, now).benefit_ -
+               forecast_placement(engine, values, 1.0, candidate, now).benefit_;
+    };
+    values.read_ms_per_million_pairs_ = 0.0;
+    CHECK(lost(45000) < 0.05);
+    values.read_tokens_per_ms_ = 15;
+    CHECK(lost(45000) > 0.1);
+}
+
+TEST_CASE("streams are kept together so that long prompts find idle engines")
+{
+    const time_point now{std::chrono::hours{1}};
+    server_directory directory;
+    fleet_load load;
+    const service_description service{service_id{"s"}, "/health", 100, profile()};
+    for (const auto* const name : {"a", "b", "c"})
+    {
+        listed_server entry;
+        entry.id_ = server_id{name};
+        entry.service_ = service.id_;
+        entry.address_ = socket_address{std::string("10.0.0.1:8") + name};
+        list_server(directory, entry, log_offset{1}, now);
+    }
+    auto& busy = load.engines_[server_id{"b"}];
+    add_work(busy, work(1, 5000, short_goal, now), now);
+    note_first_token(busy, running_key{1}, now);
+    const auto chosen = [&](std::int64_t prompt, milliseconds goal) {
+        const choice_request request{service.id_, work(99, prompt, goal, now), data_centre_id{"z"}, {}, 7};
+        return choose_server(directory, load, service, request, now).server_->listed_.id_;
+    };
+    CHECK(chosen(2000, short_goal) == server_id{"b"});
+    CHECK(chosen(182000, long_goal) != server_id{"b"});
+    for (std::uint64_t key = 2; key <= 14; ++key)
+    {
+        add_work(busy, work(key, 100, short_goal, now), now);
+        note_first_token(busy, running_key{key}, now);
+    }
+    // The last slots are left to VMs that decide at the same moment.
+    CHECK(chosen(2000, short_goal) != server_id{"b"});
+}
+
 TEST_CASE("short prompts go where no long prompt is read, and servers to avoid come last")
 {
     const time_point now{std::chrono::hours{1}};
--- a/tests/decisions/gateway_state_test.cpp
+++ b/tests/decisions/gateway_state_test.cpp
@@ -128,6 +128,27 @@
     CHECK(repeats > 0);
 }
 
+TEST_CASE("a fleet larger than the settings expect divides the budget among all its VMs")
+{
+    // The budget was divided by twelve on deployments of 73 VMs, which allowed six times the bound.
+    constexpr std::size_t running = 97;
+    std::size_t repeats = 0;
+    for (std::size_t vm = 0; vm < running; ++vm)
+    {
+        shared_retry_budget budget;
+        budget.bound_.extra_ = 222;
+        budget.vms_ = 12;
+        divide_among(budget, 73);
+        divide_among(budget, 5);
+        while (take_repeat(budget, service_id{"s"}, start))
+        {
+            ++repeats;
+        }
+    }
+    CHECK(repeats <= 222);
+    CHECK(repeats > 0);
+}
+
 TEST_CASE("a report replaces what its VM reported before, and an older one changes nothing")
 {
     load_peers peers;
--- /dev/null
+++ b/tests/decisions/joint_read_test.cpp
@@ -0,0 +1,163 @@
+#include <algorithm>
+#include <numeric>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "cornelstall/decisions.hpp"
+
+using namespace cornelstall;
+
+namespace
+{
+
+const time_point now{std::chrono::hours{1}};
+
+engine_profile profile()
+{
+    engine_profile values;
+    values.slots_ = 12;
+    values.kv_capacity_ = token_count{344250};
+    values.step_ms_ = 1.31;
+    values.read_tokens_per_ms_ = 154;
+    values.read_ms_per_million_pairs_ = 0.162;
+    values.read_chunk_tokens_ = 2048;
+    values.steps_per_pass_ = 38;
+    return values;
+}
+
+engine_work long_prompt(std::int64_t tokens)
+{
+    engine_work made;
+    made.key_ = running_key{1000};
+    made.prompt_ = token_count{tokens};
+    made.unread_ = made.prompt_;
+    made.answer_left_ = token_count{800};
+    made.target_ = milliseconds{8000};
+    made.patience_ = milliseconds{15000};
+    made.arrived_ = now;
+    made.sent_at_ = now;
+    made.value_ = value_of(made.prompt_, made.answer_left_);
+    return made;
+}
+
+/// A service with @a engines idle engines.
+struct fleet
+{
+    explicit fleet(int engines) : service_{service_id{"s"}, "/health", 100, profile()}
+    {
+        for (int index = 0; index < engines; ++index)
+        {
+            listed_server entry;
+            entry.id_ = server_id{"engine-" + std::to_string(index)};
+            entry.service_ = service_.id_;
+            entry.address_ = socket_address{"10.0.0." + std::to_string(index + 1) + ":80"};
+            list_server(directory_, entry, log_offset{1}, now);
+        }
+    }
+
+    std::optional<joint_read> choose(std::int64_t tokens, std::optional<double> alone, std::uint64_t draw = 7)
+    {
+        const choice_request request{service_.id_, long_prompt(tokens), data_centre_id{"z"}, {}, draw};
+        return choose_joint_read(directory_, load_, service_, request, alone, now);
+    }
+
+    service_description service_;
+    server_directory directory_;
+    fleet_load load_;
+};
+
+}  // namespace
+
+TEST_CASE("a prompt above one engine's memory is read and held by several")
+{
+    // Such prompts were refused by the engines, a third of the longest kind on the grown deployments.
+    fleet engines(20);
+    constexpr std::int64_t prompt = 700000;
+    const auto joint = engines.choose(prompt, std::nullopt);
+    REQUIRE(joint);
+    const auto& parts = joint->parts_;
+    CHECK_FALSE(parts.front().work_.helps_);
+    CHECK(parts.front().reserved_ == token_count{0});
+    CHECK(std::all_of(parts.begin() + 1, parts.end(), [](const joint_part& part) { return part.work_.helps_; }));
+    std::int64_t held = 0;
+    std::int64_t read = 0;
+    std::set<server_id> servers;
+    for (const auto& part : parts)
+    {
+        held += part.work_.prompt_.get();
+        read += part.work_.unread_.get();
+        servers.insert(part.server_.id_);
+        CHECK(part.work_.prompt_ + part.work_.answer_left_ <= profile().kv_capacity_);
+        CHECK((part.reserved_ == token_count{0} || part.reserved_ == part.work_.prompt_));
+    }
+    CHECK(held == prompt);
+    CHECK(read >= prompt);
+    CHECK(servers.size() == parts.size());
+    CHECK(joint->forecast_.first_token_ < milliseconds{8000});
+}
+
+TEST_CASE("a prompt that a single engine cannot read in time is read by several")
+{
+    fleet engines(20);
+    const auto alone = forecast_placement({}, profile(), 1.0, long_prompt(300000), now);
+    CHECK(alone.first_token_ > milliseconds{8000});
+    const auto joint = engines.choose(300000, alone.benefit_);
+    REQUIRE(joint);
+    CHECK(joint->forecast_.first_token_ < milliseconds{5000});
+    // A short prompt gains nothing.
+    CHECK_FALSE(engines.choose(20000, 0.0));
+}
+
+TEST_CASE("engines with streams and those kept for other requests do not help")
+{
+    // Parts beside streams stopped the streams for seconds, so that their callers left.
+    fleet engines(20);
+    for (int index = 0; index < 15; ++index)
+    {
+        auto stream = long_prompt(100);
+        stream.key_ = running_key{static_cast<std::uint64_t>(index)};
+        auto& engine = engines.load_.engines_[server_id{"engine-" + std::to_string(index)}];
+        add_work(engine, stream, now);
+        note_first_token(engine, stream.key_, now);
+    }
+    const auto joint = engines.choose(300000, -100.0);
+    REQUIRE(joint);
+    CHECK(joint->parts_.size() == 2);
+    CHECK(std::ranges::all_of(joint->parts_, [&engines](const joint_part& part) {
+        return engines.load_.engines_[part.server_.id_].work_.empty();
+    }));
+    fleet few(3);
+    add_work(few.load_.engines_[server_id{"engine-0"}], long_prompt(100), now);
+    add_work(few.load_.engines_[server_id{"engine-1"}], long_prompt(100), now);
+    CHECK_FALSE(few.choose(700000, std::nullopt));
+}
+
+TEST_CASE("VMs that decide at the same moment choose different engines")
+{
+    // Two VMs once chose the same two engines within a millisecond, and both prompts missed their time limit.
+    fleet engines(40);
+    std::set<server_id> answering;
+    for (std::uint64_t draw = 1; draw <= 20; ++draw)
+    {
+        const auto joint = engines.choose(300000, std::nullopt, draw * 0x9E3779B97F4A7C15ULL);
+        REQUIRE(joint);
+        answering.insert(joint->parts_.front().server_.id_);
+    }
+    CHECK(answering.size() > 5);
+}
+
+TEST_CASE("an engine that only holds memory for another one is idle and keeps no slot")
+{
+    engine_schedule engine;
+    auto part = long_prompt(300000);
+    part.helps_ = true;
+    part.joint_prompt_ = part.prompt_;
+    part.unread_ = token_count{0};
+    part.answer_left_ = token_count{0};
+    add_work(engine, part, now);
+    advance(engine, profile(), 1.0, now + std::chrono::seconds{5});
+    CHECK(engine.simulated_until_ == now + std::chrono::seconds{5});
+    CHECK(slots_used(engine) == 0);
+    CHECK(memory_used(engine) == token_count{300000});
+}
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -21,6 +21,12 @@
         request.host_ = std::string(message[http::field::host]);
         request.path_ = std::string(message.target());
         request.key_ = std::string(message["X-Key"]);
+        const auto prompt = message["X-Prompt"];
+        std::int64_t tokens = 0;
+        if (std::from_chars(prompt.data(), prompt.data() + prompt.size(), tokens).ec == std::errc{})
+        {
+            request.prompt_ = token_count{tokens};
+        }
         const auto left = message["X-Left"];
         std::int64_t value = 0;
         if (std::from_chars(left.data(), left.data() + left.size(), value).ec == std::errc{})
@@ -36,6 +42,12 @@
         {
             fields.set("X-After", std::to_string(*details.resume_after_));
         }
+        std::string reservations;
+        for (const auto& helper : details.helpers_)
+        {
+            reservations += helper.reservation_ + ";";
+        }
+        fields.set("X-Helpers", reservations);
     };
     protocol.read_answer_ = [](const http::response_header<>& head) {
         server_answer answer;
@@ -51,6 +63,15 @@
     protocol.write_own_fields_ = [](const caller_request& request, http::fields& fields) {
         fields.set("X-Id", request.id_.get());
     };
+    protocol.write_memory_order_ = [](const memory_order& order) {
+        http::request<http::string_body> message(http::verb::post, "/memory", 11);
+        message.set("X-Order", order.release_ ? "release" : "reserve");
+        message.set("X-Reservation", order.reservation_);
+        return message;
+    };
+    protocol.read_order_end_ = [](unsigned status) {
+        return status == 200 ? order_end::done : status == 409 ? order_end::refused : order_end::unknown;
+    };
     return protocol;
 }
 
@@ -74,8 +95,8 @@
         return values;
     }
 
-    /// @brief Puts one route of service "s" in force.
-    void use_route(route matched)
+    /// @brief Puts one route of service "s" in force; its servers are engines when @a engine is given.
+    void use_route(route matched, std::optional<engine_profile> engine = std::nullopt)
     {
         matched.host_ = "h";
         matched.path_prefix_ = "/r/";
@@ -83,7 +104,7 @@
         auto table = std::make_shared<routing_table>();
         table->version_ = configuration_version{state_.table_ ? state_.table_->version_.get() + 1 : 1};
         add_route(*table, std::move(matched));
-        table->services_[service_id{"s"}] = service_description{service_id{"s"}, "/health", 100, std::nullopt};
+        table->services_[service_id{"s"}] = service_description{service_id{"s"}, "/health", 100, engine};
         use_table(state_, table);
     }
 
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -174,6 +174,40 @@
     CHECK(message["Expect-Instance"] == "i-1");
     CHECK(message["Deadline-Ms"] == "700");
     CHECK(message["Last-Event-Id"] == "12");
+    details.helpers_ = {{socket_address{"10.0.0.3:80"}, "vm-1-7-1"}, {socket_address{"10.0.0.4:80"}, ""}};
+    protocol.write_forward_fields_(details, message);
+    CHECK(message["Helpers"] == "10.0.0.3:80/vm-1-7-1,10.0.0.4:80");
+}
+
+TEST_CASE("memory orders are written as the platform spells them")
+{
+    const auto protocol = platform::platform_protocol();
+    memory_order order;
+    order.server_ = server_id{"i-1"};
+    order.reservation_ = "vm-1-7-1";
+    order.tokens_ = token_count{60000};
+    order.hold_ = milliseconds{3400};
+    const auto reserve = protocol.write_memory_order_(order);
+    CHECK(reserve.target() == "/order");
+    CHECK(reserve["Expect-Instance"] == "i-1");
+    CHECK(reserve.body() == R"({"hold_ms":3400,"id":"vm-1-7-1","operation":"reserve","tokens":60000,"wait":false})");
+    order.release_ = true;
+    CHECK(protocol.write_memory_order_(order).body() == R"({"id":"vm-1-7-1","operation":"release"})");
+    CHECK(protocol.read_order_end_(200) == order_end::done);
+    CHECK(protocol.read_order_end_(409) == order_end::refused);
+    CHECK(protocol.read_order_end_(421) == order_end::refused);
+    // Without an answer, or while the memory is waited for, the order may still be carried out.
+    CHECK(protocol.read_order_end_(0) == order_end::unknown);
+    CHECK(protocol.read_order_end_(202) == order_end::unknown);
+    CHECK(protocol.read_order_end_(503) == order_end::unknown);
+}
+
+TEST_CASE("a reservation ends before the bound on memory that nobody uses")
+{
+    CHECK(platform::decode_settings(settings_text).gateway_.memory_hold_ == milliseconds{3400});
+    auto tighter = settings_text;
+    tighter.replace(tighter.find("[bounds]"), 8, "[bounds]\nfree_ms = 2000");
+    CHECK(platform::decode_settings(tighter).gateway_.memory_hold_ == milliseconds{1700});
 }
 
 TEST_CASE("only the server's own statement means that it did not run a request")
@@ -184,6 +218,9 @@
     CHECK_FALSE(read(answer).did_not_run_);
     answer.set("Not-Executed", "1");
     CHECK(read(answer).did_not_run_);
+    CHECK(read(answer).at_fault_.empty());
+    answer.set("At-Server", "i-7");
+    CHECK(read(answer).at_fault_ == "i-7");
     http::response<http::string_body> moved(http::status::misdirected_request, 11);
     CHECK(read(moved).did_not_run_);
     CHECK(read(moved).other_server_);
--- a/tests/wire/load_codec_test.cpp
+++ b/tests/wire/load_codec_test.cpp
@@ -47,6 +47,31 @@
     CHECK(report->work_[2].work_.arrived_ == now + milliseconds{5} - milliseconds{1500});
 }
 
+TEST_CASE("parts of a prompt that several engines read are reported")
+{
+    auto written = report_with(2);
+    auto& first = written.work_[0].work_;
+    first.joint_prompt_ = token_count{900000};
+    first.prompt_ = token_count{300000};
+    first.unread_ = token_count{90000};
+    auto& helper = written.work_[1].work_;
+    helper.generating_ = false;
+    helper.joint_prompt_ = token_count{900000};
+    helper.prompt_ = token_count{200000};
+    helper.unread_ = token_count{0};
+    helper.answer_left_ = token_count{0};
+    helper.helps_ = true;
+    const auto report = decode_load_report(encode_load_report(written, byte_count{1400}, now), now);
+    REQUIRE(report);
+    REQUIRE(report->work_.size() == 2);
+    CHECK(report->work_[0].work_.unread_ == token_count{90000});
+    CHECK(report->work_[0].work_.value_ > value_of(token_count{300000}, token_count{0}));
+    CHECK(report->work_[1].work_.helps_);
+    CHECK(report->work_[1].work_.unread_ == token_count{0});
+    CHECK(report->work_[1].work_.prompt_ == token_count{200000});
+    CHECK(report->work_[1].work_.value_ == 0.0);
+}
+
 TEST_CASE("a report stays within one datagram")
 {
     const auto bytes = encode_load_report(report_with(500), byte_count{1400}, now);
