Go on with streams that a server has begun

The new refusal of requests that cost others more than they bring was applied to streams already begun. Found by reading beside it: the repeat was checked when the wait began and taken after it, so other requests could use up the budget meanwhile. Change: a request that a server has had is not refused for its cost and waits for a place until its time limit; the repeat is taken in the moment a silent server is given up, and only if another server is there. Ruled out: SIGTERM itself; the VMs' stop begins 0.6 s and 3.3 s before and closes no open request. The new tests fail without the change of the admission and of the budget.

--- a/packages/gateway/include/cornelstall/gateway/connection/caller_socket.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/caller_socket.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -27,6 +28,10 @@
 /// @brief Closes @a connection at @a deadline; replaces an earlier limit.
 void limit_until(limited_socket& connection, time_point deadline);
 
+/// @brief Closes @a connection at @a give_up if @a may_give_up holds then, else at @a deadline; replaces an earlier
+/// limit.
+void give_up_at(limited_socket& connection, time_point give_up, time_point deadline, std::function<bool()> may_give_up);
+
 /// @brief Removes the limit.
 void remove_limit(limited_socket& connection);
 
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -50,6 +50,7 @@
     int sends_ = 0;                                  ///< servers that were tried
     int arrivals_ = 0;                               ///< servers that were reached
     int possible_runs_ = 0;                          ///< sends that may have run
+    bool repeat_taken_ = false;                      ///< the budget for the next send is taken already
     bool head_sent_ = false;                         ///< the caller has the head of an answer
     bool keep_caller_ = true;                        ///< the connection can take another request
     bool answered_ = false;                          ///< a whole answer, or as much as could be sent
@@ -118,6 +119,15 @@
 /// is no reason to end an answer.
 [[nodiscard]] bool can_give_up_send(const exchange& current);
 
+/// @brief True when a ready server of the service was not tried yet.
+[[nodiscard]] bool has_other_server(const exchange& current);
+
+/// @brief True when no single engine's memory holds the prompt.
+[[nodiscard]] bool exceeds_one_engine(const exchange& current);
+
+/// @brief Limits the wait for @a server: until @a give_up if another send is possible then, else until the deadline.
+void limit_send(exchange& current, backend_socket& server, time_point give_up);
+
 /// @brief The time that is left for the answer.
 [[nodiscard]] milliseconds time_left(const exchange& current);
 
--- a/packages/gateway/src/connection/limited_socket.cpp
+++ b/packages/gateway/src/connection/limited_socket.cpp
@@ -62,6 +62,26 @@
         });
 }
 
+void give_up_at(limited_socket& connection, time_point give_up, time_point deadline, std::function<bool()> may_give_up)
+{
+    connection.limit_.expires_at(give_up);
+    connection.limit_.async_wait([weak = connection.weak_from_this(), give_up, deadline,
+                                  may_give_up = std::move(may_give_up)](const boost::system::error_code& cancelled) {
+        const auto limited = weak.lock();
+        if (cancelled || !limited || limited->limit_.expiry() != give_up)
+        {
+            return;
+        }
+        if (!may_give_up())
+        {
+            limit_until(*limited, deadline);
+            return;
+        }
+        limited->expired_ = true;
+        close_now(*limited);
+    });
+}
+
 void remove_limit(limited_socket& connection)
 {
     connection.limit_.expires_at(time_point::max());
--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -219,8 +219,7 @@
     {
         if (any)
         {
-            const auto give_up = std::chrono::steady_clock::now() + gap;
-            limit_until(*server, can_give_up_send(current) ? std::min(current.deadline_, give_up) : current.deadline_);
+            limit_send(current, *server, std::chrono::steady_clock::now() + gap);
         }
         parser.get().body().data = bytes.data();
         parser.get().body().size = bytes.size();
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -79,14 +79,9 @@
 /// When a send that may be repeated is given up for want of a first byte.
 time_point first_byte_deadline(const exchange& current, const placement_forecast& forecast)
 {
-    if (!can_give_up_send(current))
-    {
-        return current.deadline_;
-    }
-    const auto now = std::chrono::steady_clock::now();
     const auto patience = current.service_->engine_ ? forecast.first_token_ * forecast_margin + forecast_slack
                                                     : current.route_->latency_target_ * plain_goals;
-    return std::min(current.deadline_, now + patience);
+    return std::chrono::steady_clock::now() + patience;
 }
 
 milliseconds silence_limit(const route& matched)
@@ -287,7 +282,7 @@
     }
     ++current.arrivals_;
     current.watch_->active_ = connection;
-    limit_until(*connection, first_byte_deadline(current, forecast));
+    limit_send(current, *connection, first_byte_deadline(current, forecast));
     const auto sent = start_writing(connection, message_for(current, server));
     answer_parser parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -305,6 +300,7 @@
         limit_until(*connection, current.deadline_);
         end = co_await relay_answer(current, server, connection, parser);
     }
+    remove_limit(*connection);
     close_now(*connection);
     co_return end;
 }
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -165,12 +165,43 @@
            (current.route_->kind_ == request_kind::streaming && current.route_->resumable_);
 }
 
+bool has_other_server(const exchange& current)
+{
+    return std::ranges::any_of(
+        ready_servers(current.state_.directory_, current.service_->id_), [&current](const known_server* server) {
+            return std::ranges::find(current.tried_, server->listed_.id_) == current.tried_.end();
+        });
+}
+
+bool exceeds_one_engine(const exchange& current)
+{
+    return current.service_->engine_ &&
+           current.facts_.prompt_.value_or(token_count{0}) > current.service_->engine_->kv_capacity_;
+}
+
 bool can_give_up_send(const exchange& current)
 {
     return may_repeat(current) && current.possible_runs_ + 1 < current.route_->max_attempts_ &&
+           !exceeds_one_engine(current) && has_other_server(current) &&
            has_repeat(current.state_.retry_budget_, current.service_->id_, std::chrono::steady_clock::now());
 }
 
+void limit_send(exchange& current, backend_socket& server, time_point give_up)
+{
+    if (!can_give_up_send(current) || give_up >= current.deadline_)
+    {
+        limit_until(server, current.deadline_);
+        return;
+    }
+    give_up_at(server, give_up, current.deadline_, [&current] {
+        // The repeat is taken now, since other requests may use up the budget before the next send.
+        current.repeat_taken_ =
+            can_give_up_send(current) &&
+            take_repeat(current.state_.retry_budget_, current.service_->id_, std::chrono::steady_clock::now());
+        return current.repeat_taken_;
+    });
+}
+
 milliseconds time_left(const exchange& current)
 {
     return remaining_until(current.deadline_, std::chrono::steady_clock::now());
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "cornelstall/gateway/request/exchange.hpp"
 #include "cornelstall/gateway/request/memory_lease.hpp"
@@ -122,12 +123,6 @@
     std::vector<std::shared_ptr<memory_lease>> leases_;
 };
 
-bool exceeds_one_engine(const exchange& current, const engine_work& work)
-{
-    return current.service_->engine_ &&
-           work.prompt_.get() + work.answer_left_.get() > current.service_->engine_->kv_capacity_.get();
-}
-
 /// True when a single engine meets the goal so well that others need not help.
 bool is_good_alone(const engine_work& work, const placement_forecast& forecast, time_point now)
 {
@@ -141,7 +136,7 @@
     auto& state = current.state_;
     const choice_request wanted{current.service_->id_, work, state.settings_.data_centre_, current.tried_,
                                 state.random_()};
-    const bool too_large = exceeds_one_engine(current, work);
+    const bool too_large = exceeds_one_engine(current);
     const auto choice = choose_server(state.directory_, state.load_, *current.service_, wanted, now);
     if (choice.server_ == nullptr)
     {
@@ -158,7 +153,8 @@
             return send_plan{server, joint->forecast_, choice.considered_, std::move(joint->parts_)};
         }
     }
-    if (too_large || choice.forecast_.benefit_ < 0.0)
+    // A request that a server has had is not refused any more for what it costs others.
+    if (too_large || (current.arrivals_ == 0 && choice.forecast_.benefit_ < 0.0))
     {
         return std::nullopt;
     }
@@ -249,17 +245,19 @@
 }
 
 /// Waits for engines that can take the request.
-/// @return the plan, or nothing when the request is better refused
+/// @return the plan, or nothing when the request is better refused; one that a server has had waits until its time
+/// limit
 task<std::optional<send_plan>> await_plan(exchange& current)
 {
-    const auto give_up = current.arrived_ + std::chrono::duration_cast<time_point::duration>(
-                                                current.route_->latency_target_ * placement_wait_share);
+    const auto patience =
+        std::chrono::duration_cast<time_point::duration>(current.route_->latency_target_ * placement_wait_share);
+    const auto give_up = current.arrivals_ > 0 ? current.deadline_ : current.arrived_ + patience;
     while (true)
     {
         const auto now = std::chrono::steady_clock::now();
         auto work = work_of(current);
         auto plan = plan_send(current, work, now);
-        if (plan || now >= std::min(give_up, current.deadline_) || current.watch_->left_)
+        if (plan || now >= std::min(give_up, current.deadline_) || current.watch_->left_ || !has_other_server(current))
         {
             co_return plan;
         }
@@ -319,7 +317,8 @@
             }
             continue;
         }
-        if (current.arrivals_ > 0 && !take_repeat(current.state_.retry_budget_, current.service_->id_, now))
+        const bool taken = std::exchange(current.repeat_taken_, false);
+        if (current.arrivals_ > 0 && !taken && !take_repeat(current.state_.retry_budget_, current.service_->id_, now))
         {
             current.state_.metrics_.count("gateway_retries_refused_total", {{"reason", "budget"}});
             co_return end;
--- a/tests/gateway/request_test.cpp
+++ b/tests/gateway/request_test.cpp
@@ -209,7 +209,13 @@
     current.route_ = find_route(*gateway.state_.table_, "h", "/r/x");
     current.service_ = &gateway.state_.table_->services_.at(service_id{"s"});
     REQUIRE(current.route_ != nullptr);
+    // Without another server nothing could follow.
+    CHECK_FALSE(can_give_up_send(current));
+    gateway.add_server([](const auto&) { return plain("200 OK", ""); });
     CHECK(can_give_up_send(current));
+    current.tried_ = {server_id{"server-0"}};
+    CHECK_FALSE(can_give_up_send(current));
+    current.tried_.clear();
     current.possible_runs_ = 1;
     CHECK_FALSE(can_give_up_send(current));
     current.possible_runs_ = 0;
@@ -217,6 +223,88 @@
     CHECK_FALSE(can_give_up_send(current));
 }
 
+TEST_CASE("a silent server is not given up when the budget was used up while it was awaited")
+{
+    // Two streams were closed midway: another send was possible when the wait began, and not any more when it ended.
+    gateway_fixture gateway;
+    auto matched = route_of(request_kind::idempotent, 2);
+    matched.latency_target_ = milliseconds{50};
+    gateway.use_route(matched);
+    gateway.state_.retry_budget_.bound_.extra_ = 15;
+    gateway.state_.retry_budget_.vms_ = 12;
+    for (int index = 0; index < 2; ++index)
+    {
+        gateway.add_server([](const auto&) { return scripted_answer{"", true}; });
+    }
+    std::string answer;
+    boost::asio::ip::tcp::socket caller(gateway.io_);
+    caller.connect(gateway.acceptor_.local_endpoint());
+    boost::asio::write(caller, boost::asio::buffer(request_text("GET", "X-Left: 900\r\n")));
+    const auto arrivals = [&gateway] {
+        return gateway.servers_[0]->arrivals_.size() + gateway.servers_[1]->arrivals_.size();
+    };
+    REQUIRE(gateway.run_until([&arrivals] { return arrivals() == 1; }));
+    const auto now = std::chrono::steady_clock::now();
+    while (take_repeat(gateway.state_.retry_budget_, service_id{"s"}, now))
+    {}
+    const auto closed = [&gateway] {
+        return gateway.servers_[0]->closed_by_peer_ + gateway.servers_[1]->closed_by_peer_;
+    };
+    CHECK(gateway.run_until([&] { return closed() == 1; }));
+    CHECK(std::chrono::steady_clock::now() - now > milliseconds{600});
+    CHECK(arrivals() == 1);
+}
+
+TEST_CASE("a stream that a server has begun goes on even where it costs others more than it brings")
+{
+    // Such streams were closed midway, as if they had not been admitted yet.
+    gateway_fixture gateway;
+    auto matched = route_of(request_kind::streaming, 2, true);
+    matched.latency_target_ = milliseconds{1000};
+    engine_profile engine;
+    engine.slots_ = 16;
+    engine.kv_capacity_ = token_count{400000};
+    engine.read_tokens_per_ms_ = 10;
+    engine.steps_per_pass_ = 34;
+    engine.usual_answer_ = token_count{100};
+    gateway.use_route(matched, engine);
+    gateway.add_server([](const auto& message) {
+        return message["X-After"].empty() ? scripted_answer{events(1, 2), false}
+                                          : scripted_answer{events(3, 3) + end_of_chunks, false};
+    });
+    const auto ask = [&gateway] {
+        return gateway.ask(request_text("POST", "X-Prompt: 90000\r\n", "prompt"));
+    };
+    gateway.add_server([](const auto& message) {
+        return message["X-After"].empty() ? scripted_answer{events(1, 2), false}
+                                          : scripted_answer{events(3, 3) + end_of_chunks, false};
+    });
+    // Streams that a read of nine seconds would stop, on whichever server goes second.
+    auto& state = gateway.state_;
+    const auto load_server = [&state](const std::string& name) {
+        const auto now = std::chrono::steady_clock::now();
+        for (std::uint64_t key = 1; key <= 12; ++key)
+        {
+            engine_work stream;
+            stream.key_ = running_key{key};
+            stream.prompt_ = token_count{5000};
+            stream.answer_left_ = token_count{100000};
+            stream.target_ = milliseconds{250};
+            stream.max_gap_ = milliseconds{250};
+            stream.value_ = 5.0;
+            add_work(state.load_.engines_[server_id{name}], stream, now);
+            note_first_token(state.load_.engines_[server_id{name}], stream.key_, now);
+        }
+    };
+    load_server("server-1");
+    const auto answer = ask();
+    CHECK(count(answer, "data: e") == 3);
+    CHECK(answer.ends_with(end_of_chunks));
+    // A new request is refused when both servers are like that.
+    load_server("server-0");
+    CHECK(has(ask(), "503"));
+}
+
 TEST_CASE("requests without a route, a key or fresh news of the keys are answered by the gateway itself")
 {
     gateway_fixture gateway;
