Charge a late request no more than a part of its value for an idle engine

Change: the charge is a quarter of the request's expected benefit at most. Ruled out: load; the case has virtual time and a fixed draw. Before and after: the case fails, passes; bound and check unchanged.

--- a/packages/decisions/src/request/server_choice.cpp
+++ b/packages/decisions/src/request/server_choice.cpp
@@ -20,6 +20,8 @@
 /// What the first request of an idle engine must bring more: streams are kept together, so that long prompts find
 /// engines without streams.
 constexpr double idle_engine_cost = 0.15;
+/// A request that is late already has little left to lose; this part of it is charged at most.
+constexpr double most_idle_share = 0.25;
 /// Engines with more than this part of their slots in use are left to requests of VMs that decide at the same moment:
 /// each slot beyond costs this much.
 constexpr double comfortable_slots = 0.65;
@@ -84,8 +86,10 @@
     ranked_server ranked;
     ranked.server_ = &server;
     ranked.forecast_ = forecast_placement(load, profile, server.pace_, request.work_, now);
-    ranked.benefit_ = ranked.forecast_.benefit_ - (ranked.forecast_.fits_ ? 0.0 : full_engine_cost) -
-                      (load.work_.empty() ? idle_engine_cost : 0.0) - crowding_cost(load, profile);
+    const double gain = std::max(0.0, ranked.forecast_.benefit_);
+    const double idle_cost = load.work_.empty() ? std::min(idle_engine_cost, most_idle_share * gain) : 0.0;
+    ranked.benefit_ = ranked.forecast_.benefit_ - (ranked.forecast_.fits_ ? 0.0 : full_engine_cost) - idle_cost -
+                      crowding_cost(load, profile);
     return ranked;
 }
 
