--- a/packages/decisions/include/cornelstall/decisions/request/joint_read.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/joint_read.hpp
@@ -27,7 +27,7 @@
 /// where it costs the requests already there the least.
 ///
 /// Linear in the number of servers times the passes until their prompts are read.
-/// @param alone expected benefit on a single engine; nothing when the prompt fits none
+/// @param alone value expected on a single engine less what others lose; nothing when the prompt fits none
 /// @return nothing when reading it together is impossible or brings no more than a single engine
 [[nodiscard]] std::optional<joint_read> choose_joint_read(server_directory& directory, fleet_load& load,
                                                           const service_description& service,
--- a/packages/decisions/src/request/joint_read.cpp
+++ b/packages/decisions/src/request/joint_read.cpp
@@ -19,7 +19,7 @@
 constexpr double goal_share = 0.5;
 /// Part of an engine's memory that is planned with; the rest covers answers that become longer than expected.
 constexpr double memory_share = 0.92;
-/// Orders to reserve and release memory, and the chance that an engine of several fails, against the benefit.
+/// Value that each engine must bring for the orders about its memory and the chance that one of several fails.
 constexpr double cost_of_each_part = 0.1;
 /// Scores closer than this are equal; the forecast is not more exact.
 constexpr double score_step = 0.05;
