Tell all changes of the server list that some VM lacks

Cause: a report carried the last five changes of the list at most, so that when 17 servers were replaced the other VMs could not join the news to what they knew and read the store themselves, up to 1.6 s later, and a VM that the store refused stayed behind. Changes were also told for 3 s only.

Each report now says how far its VM knows the list. A VM that reads the store tells the changes that the VM that lags most lacks, in as many datagrams as they need, and repeats them until all have them. A list that is read as a whole is told as changes too. A removal found that way is dated before the next record, since a server that came again with that record was ignored.

--- a/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
@@ -27,6 +27,7 @@
     configuration_version version_;
     bool leaving_ = false;
     store_news news_;
+    bool only_news_ = false;  ///< says nothing of the work
 };
 
 /// @brief A VM that reports its load.
@@ -39,6 +40,7 @@
     std::vector<reported_work> work_;
     configuration_version version_;
     bool reaches_store_ = false;
+    log_offset list_known_;  ///< the VM knows the list of servers up to before this offset
 };
 
 /// @brief The other VMs by id.
@@ -59,6 +61,11 @@
 /// @param limit a VM that was silent for this long does not count
 [[nodiscard]] std::size_t reader_rank(const load_peers& peers, const vm_id& self, milliseconds limit, time_point now);
 
+/// @brief The offset from which the VM that lags most lacks changes of the list of servers; @a own_next when none does.
+/// VMs that were silent for @a limit or have not read the list yet do not count.
+[[nodiscard]] log_offset first_lacking(const load_peers& peers, log_offset own_next, milliseconds limit,
+                                       time_point now);
+
 /// @brief The highest version of the routes that another VM has.
 [[nodiscard]] configuration_version newest_version(const load_peers& peers);
 
--- a/packages/decisions/include/cornelstall/decisions/connection/store_news.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/store_news.hpp
@@ -25,13 +25,18 @@
     log_offset list_from_;                   ///< `changes_` are complete from this offset…
     log_offset list_next_;                   ///< …to before this one
     std::vector<server_change> changes_;     ///< in the order of their offsets
+    log_offset list_known_;                  ///< the VM knows the list up to before this offset, read or heard
 };
 
 /// @brief Age of what is known at which the VM of @a rank reads the log itself. VMs of higher rank wait longer, so that
 /// one read serves all while the first ones live.
 [[nodiscard]] milliseconds read_after(std::size_t rank);
 
-/// @brief Leaves out the oldest changes until at most @a most remain; `list_from_` then begins after them.
-void shorten(store_news& news, std::size_t most);
+/// @brief Splits @a news into parts of at most @a most changes. Each part joins the one before it; only the last one
+/// says how old the list is, since the others do not reach its end.
+[[nodiscard]] std::vector<store_news> split_news(const store_news& news, std::size_t most);
+
+/// @brief Leaves out the changes before @a from; `list_from_` then begins there.
+void drop_changes_before(store_news& news, log_offset from);
 
 }  // namespace cornelstall
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -71,6 +71,12 @@
     {
         return false;
     }
+    if (report.only_news_)
+    {
+        peer.sequence_ = report.sequence_;
+        peer.incarnation_ = report.incarnation_;
+        return true;
+    }
     std::ranges::for_each(peer.work_, [&](const reported_work& before) {
         if (!reports(report, before))
         {
@@ -78,8 +84,8 @@
         }
     });
     std::ranges::for_each(report.work_, [&](const reported_work& entry) { merge(load, entry, now); });
-    peer = load_peer{report.address_, report.incarnation_, report.sequence_,     now,
-                     report.work_,    report.version_,     report.news_.reached_};
+    peer = load_peer{report.address_, report.incarnation_, report.sequence_,      now,
+                     report.work_,    report.version_,     report.news_.reached_, report.news_.list_known_};
     if (report.leaving_ && report.work_.empty())
     {
         peers.peers_.erase(report.vm_);
@@ -107,6 +113,16 @@
     }));
 }
 
+log_offset first_lacking(const load_peers& peers, log_offset own_next, milliseconds limit, time_point now)
+{
+    auto first = own_next;
+    std::ranges::for_each(peers.peers_ | std::views::values, [&](const load_peer& peer) {
+        const bool counts = peer.list_known_ > log_offset{0} && now - peer.heard_at_ < limit;
+        first = counts ? std::min(first, peer.list_known_) : first;
+    });
+    return first;
+}
+
 configuration_version newest_version(const load_peers& peers)
 {
     configuration_version newest;
--- a/packages/decisions/src/connection/store_news.cpp
+++ b/packages/decisions/src/connection/store_news.cpp
@@ -1,6 +1,7 @@
 #include "cornelstall/decisions/connection/store_news.hpp"
 
 #include <algorithm>
+#include <span>
 
 namespace cornelstall
 {
@@ -28,15 +29,33 @@
     return std::min(last_reader_age, second_reader_age + rank_step * steps);
 }
 
-void shorten(store_news& news, std::size_t most)
+std::vector<store_news> split_news(const store_news& news, std::size_t most)
 {
-    if (news.changes_.size() <= most)
+    std::vector<store_news> parts;
+    auto from = news.list_from_;
+    auto rest = std::span(news.changes_);
+    while (rest.size() > most)
     {
-        return;
+        store_news part = news;
+        part.list_age_.reset();
+        part.list_from_ = from;
+        part.list_next_ = rest[most - 1].at_.next();
+        part.changes_.assign(rest.begin(), rest.begin() + static_cast<std::ptrdiff_t>(most));
+        from = part.list_next_;
+        rest = rest.subspan(most);
+        parts.push_back(std::move(part));
     }
-    const auto excess = static_cast<std::ptrdiff_t>(news.changes_.size() - most);
-    news.list_from_ = news.changes_[static_cast<std::size_t>(excess) - 1].at_.next();
-    news.changes_.erase(news.changes_.begin(), news.changes_.begin() + excess);
+    store_news last = news;
+    last.list_from_ = from;
+    last.changes_.assign(rest.begin(), rest.end());
+    parts.push_back(std::move(last));
+    return parts;
+}
+
+void drop_changes_before(store_news& news, log_offset from)
+{
+    news.list_from_ = std::max(news.list_from_, std::min(from, news.list_next_));
+    std::erase_if(news.changes_, [&news](const server_change& change) { return change.at_ < news.list_from_; });
 }
 
 }  // namespace cornelstall
--- a/packages/gateway/include/cornelstall/gateway/connection/load_exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/load_exchange.hpp
@@ -16,6 +16,8 @@
     boost::asio::ip::udp::socket socket_;
     boost::asio::steady_timer next_report_;
     std::uint64_t sequence_ = 0;
+    log_offset told_next_;  ///< end of the list when its changes were told last
+    time_point told_at_;
 };
 
 /// @brief Takes over what other VMs report, until the process ends.
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <deque>
 #include <map>
+#include <set>
+#include <vector>
 
 #include "cornelstall/decisions.hpp"
 
@@ -26,14 +28,19 @@
     std::chrono::nanoseconds confirmed_at_{0};  ///< boot time at which the list was known to be the newest
     std::chrono::nanoseconds read_at_{0};       ///< boot time of this VM's own last read
     log_offset changes_from_;                   ///< `changes_` are complete from here to `next_`
-    std::deque<recent_change> changes_;
-    time_point lapse_until_;                  ///< removals until then may be lapses
-    std::map<server_id, log_offset> lapsed_;  ///< removals that are not believed yet
+    std::deque<recent_change> changes_;         ///< of the last while, for VMs that lack them
+    time_point lapse_until_;                    ///< removals until then may be lapses
+    std::map<server_id, log_offset> lapsed_;    ///< removals that are not believed yet
 };
 
 /// @brief Applies one change that was read or heard.
 void apply_change(gateway_state& state, const server_change& change);
 
+/// @brief Takes over the whole list, read up to before @a next; known servers that are not @a listed are removed.
+/// @param listed all ids of the list, also those whose entries cannot be used
+void take_whole_list(gateway_state& state, std::vector<server_change> entries, const std::set<server_id>& listed,
+                     log_offset next);
+
 /// @brief Notes that this VM can read the list again. Removals are doubted for a while if no VM could read it before:
 /// servers could not write their entries either.
 void note_list_reached(gateway_state& state);
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -35,10 +35,14 @@
 constexpr milliseconds drain_time{300};
 /// Fits one Ethernet frame.
 constexpr byte_count datagram_limit{1400};
+/// Changes of the list of servers in one datagram; one takes about 100 bytes.
+constexpr std::size_t changes_per_datagram = 12;
+/// Changes that some VM lacks are told again after this time, in which most VMs have said how far they know the list.
+constexpr milliseconds changes_interval{150};
 constexpr std::size_t largest_datagram = 65536;
 constexpr int receive_buffer_bytes = 262144;
 
-std::string encode(load_exchange& exchange, time_point now)
+load_report report_of(load_exchange& exchange, store_news news)
 {
     const auto& state = exchange.state_;
     load_report report;
@@ -46,16 +50,15 @@
     report.incarnation_ = state.incarnation_;
     report.sequence_ = ++exchange.sequence_;
     report.address_ = socket_address{state.settings_.ip_ + ":" + std::to_string(state.settings_.load_port_)};
-    report.work_ = state.own_work_;
     report.version_ = state.table_ ? state.table_->version_ : configuration_version{};
     report.leaving_ = state.stopping_;
-    report.news_ = own_news(exchange.state_);
-    return encode_load_report(report, datagram_limit, now);
+    report.news_ = std::move(news);
+    return report;
 }
 
-void send_to_peers(load_exchange& exchange, time_point now)
+void send_to_peers(load_exchange& exchange, const load_report& report, time_point now)
 {
-    const auto bytes = encode(exchange, now);
+    const auto bytes = encode_load_report(report, datagram_limit, now);
     std::ranges::for_each(exchange.state_.peers_.peers_, [&](const auto& entry) {
         const auto endpoint = parse_endpoint(entry.second.address_.get());
         if (!endpoint || now - entry.second.heard_at_ > forget_after)
@@ -72,6 +75,33 @@
     });
 }
 
+/// Tells the changes of the list that some VM lacks, at once when there are new ones, else at an interval.
+void tell_changes(load_exchange& exchange, const store_news& news, time_point now)
+{
+    const bool has_new = news.list_next_ != exchange.told_next_;
+    if (news.changes_.empty() || (!has_new && now - exchange.told_at_ < changes_interval))
+    {
+        return;
+    }
+    exchange.told_next_ = news.list_next_;
+    exchange.told_at_ = now;
+    std::ranges::for_each(split_news(news, changes_per_datagram), [&](const store_news& part) {
+        auto report = report_of(exchange, part);
+        report.only_news_ = true;
+        send_to_peers(exchange, report, now);
+    });
+}
+
+void report_to_peers(load_exchange& exchange, time_point now)
+{
+    auto news = own_news(exchange.state_);
+    tell_changes(exchange, news, now);
+    drop_changes_before(news, news.list_next_);
+    auto report = report_of(exchange, std::move(news));
+    report.work_ = exchange.state_.own_work_;
+    send_to_peers(exchange, report, now);
+}
+
 void report_silent_peers(load_exchange& exchange, time_point now)
 {
     auto& state = exchange.state_;
@@ -168,7 +198,7 @@
         }
         watch_for_standstill(exchange->state_);
         report_silent_peers(*exchange, now);
-        send_to_peers(*exchange, now);
+        report_to_peers(*exchange, now);
         exchange->next_report_.expires_at(now + report_interval);
     }
 }
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -1,7 +1,7 @@
 #include "cornelstall/gateway/process/follow_servers.hpp"
 
 #include <algorithm>
-#include <set>
+#include <ranges>
 
 namespace cornelstall
 {
@@ -25,45 +25,49 @@
     server_decoder decode_;
 };
 
-void apply_record(follower& self, const keyed_record& record)
+/// The change that a record stands for; nothing when the entry names no server that can be used.
+std::optional<server_change> change_of(const follower& self, const keyed_record& record)
 {
+    server_change change;
+    change.at_ = record.offset_;
     if (record.removed_)
     {
-        server_change change;
         change.server_.id_ = server_id{record.key_};
         change.removed_ = true;
-        change.at_ = record.offset_;
-        apply_change(self.state_, change);
-        return;
+        return change;
     }
     const auto entry = self.decode_(record);
     if (!entry)
     {
         log_event(severity::warning, entry_unreadable, "the entry names no server that can be used",
                   {{"server", record.key_}, {"offset", std::to_string(record.offset_.get())}});
-        return;
+        return std::nullopt;
     }
-    apply_change(self.state_, {*entry, false, record.offset_});
+    change.server_ = *entry;
+    return change;
 }
 
-/// Removes the servers that the whole list does not have.
-void remove_missing(follower& self, const record_page& whole)
+void take_whole(follower& self, const record_page& whole)
 {
+    std::vector<server_change> entries;
     std::set<server_id> listed;
-    std::ranges::for_each(whole.records_, [&listed](const keyed_record& record) {
-        if (!record.removed_)
-        {
-            listed.insert(server_id{record.key_});
-        }
-    });
-    std::vector<server_id> missing;
-    std::ranges::for_each(self.state_.directory_.servers_, [&](const auto& entry) {
-        if (!listed.contains(entry.first))
+    auto present = whole.records_ | std::views::filter([](const keyed_record& record) { return !record.removed_; });
+    std::ranges::for_each(present, [&](const keyed_record& record) {
+        listed.insert(server_id{record.key_});
+        if (auto change = change_of(self, record))
         {
-            missing.push_back(entry.first);
+            entries.push_back(std::move(*change));
         }
     });
-    std::ranges::for_each(missing, [&](const server_id& id) { apply_record(self, {id.get(), {}, true, whole.next_}); });
+    take_whole_list(self.state_, std::move(entries), listed, whole.next_);
+}
+
+void apply_record(follower& self, const keyed_record& record)
+{
+    if (const auto change = change_of(self, record))
+    {
+        apply_change(self.state_, *change);
+    }
 }
 
 void note_reached(follower& self, bool reached)
@@ -135,11 +139,8 @@
     {
         const auto asked_at = boot_time();
         const auto whole = co_await read_whole(self);
-        std::ranges::for_each(whole.records_, [&self](const keyed_record& record) { apply_record(self, record); });
-        remove_missing(self, whole);
-        list.listed_ = true;
-        list.changes_.clear();
-        list.changes_from_ = whole.next_;
+        take_whole(self, whole);
+        list.read_at_ = boot_time();
         confirm_list(state, whole.next_, asked_at);
         bool continuous = true;
         while (continuous)
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -1,6 +1,7 @@
 #include "cornelstall/gateway/process/server_list.hpp"
 
 #include <algorithm>
+#include <ranges>
 
 #include "cornelstall/gateway/process/gateway_state.hpp"
 
@@ -13,8 +14,11 @@
 constexpr event_kind server_changed{4042, "server_listed"};
 constexpr event_kind server_removed{4043, "server_removed"};
 
-/// Changes are told this long; a VM that hears none of these reports reads the log itself.
+/// What this VM read itself is told this long; others that hear nothing newer read the log themselves.
 constexpr milliseconds tell_for{3000};
+/// Changes are kept this long for VMs that missed their reports, longer than VMs stand still or are cut off on most
+/// days.
+constexpr std::chrono::seconds keep_for{30};
 /// Entries that lapsed while the log was away are written again within two seconds of its return.
 constexpr milliseconds lapse_grace{2500};
 /// A log that some VM could read this short a time ago was not away for the three heartbeats after which entries lapse.
@@ -56,7 +60,7 @@
 
 void drop_old_changes(server_list& list, time_point now)
 {
-    while (!list.changes_.empty() && now - list.changes_.front().seen_at_ > tell_for)
+    while (!list.changes_.empty() && now - list.changes_.front().seen_at_ > keep_for)
     {
         list.changes_from_ = std::max(list.changes_from_, list.changes_.front().change_.at_.next());
         list.changes_.pop_front();
@@ -106,6 +110,33 @@
     std::ranges::for_each(lapsed, [&state](const auto& entry) { remove_server(state, entry.first, entry.second); });
 }
 
+void take_whole_list(gateway_state& state, std::vector<server_change> entries, const std::set<server_id>& listed,
+                     log_offset next)
+{
+    auto& list = state.list_;
+    // Told to others like changes that were read one by one, so in the order of their offsets.
+    std::ranges::sort(entries, {}, &server_change::at_);
+    std::ranges::for_each(entries, [&state](const server_change& entry) { apply_change(state, entry); });
+    std::vector<server_id> missing;
+    std::ranges::copy_if(state.directory_.servers_ | std::views::keys, std::back_inserter(missing),
+                         [&listed](const server_id& id) { return !listed.contains(id); });
+    // A server that comes again under this id is listed at `next` or later.
+    const log_offset last{next.get() == 0 ? 0 : next.get() - 1};
+    std::ranges::for_each(missing, [&](const server_id& id) {
+        server_change change;
+        change.server_.id_ = id;
+        change.removed_ = true;
+        change.at_ = last;
+        apply_change(state, change);
+    });
+    if (!list.listed_)
+    {
+        list.changes_.clear();
+        list.changes_from_ = next;
+        list.listed_ = true;
+    }
+}
+
 void confirm_list(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at)
 {
     state.list_.next_ = std::max(state.list_.next_, next);
@@ -115,9 +146,11 @@
 store_news own_news(gateway_state& state)
 {
     auto& list = state.list_;
-    drop_old_changes(list, std::chrono::steady_clock::now());
+    const auto now = std::chrono::steady_clock::now();
+    drop_old_changes(list, now);
     store_news news;
     news.reached_ = state.store_reached_;
+    news.list_known_ = list.listed_ ? list.next_ : log_offset{0};
     if (state.table_ && age_of(state.table_read_at_) < tell_for)
     {
         news.table_age_ = age_of(state.table_confirmed_at_);
@@ -128,6 +161,7 @@
         news.list_from_ = list.changes_from_;
         news.list_next_ = list.next_;
         std::ranges::transform(list.changes_, std::back_inserter(news.changes_), &recent_change::change_);
+        drop_changes_before(news, first_lacking(state.peers_, list.next_, reader_silence, now));
     }
     return news;
 }
@@ -140,7 +174,7 @@
         state.table_confirmed_at_ = std::max(state.table_confirmed_at_, now - *news.table_age_);
     }
     auto& list = state.list_;
-    if (!news.list_age_ || !list.listed_ || list.next_ < news.list_from_)
+    if (!list.listed_ || list.next_ < news.list_from_)
     {
         return;
     }
@@ -150,8 +184,12 @@
             apply_change(state, change);
         }
     });
-    confirm_list(state, news.list_next_, now - *news.list_age_);
-    confirm_lapses(state);
+    list.next_ = std::max(list.next_, news.list_next_);
+    if (news.list_age_)
+    {
+        confirm_list(state, news.list_next_, now - *news.list_age_);
+        confirm_lapses(state);
+    }
 }
 
 std::size_t own_rank(const gateway_state& state)
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t entry_bytes = 42;
 /// What a part of a joint prompt takes more.
 constexpr std::size_t part_bytes = 12;
-/// Changes that leave room for work in a datagram; older ones are read from the log by whoever lacks them.
-constexpr std::size_t most_changes = 5;
 
 std::uint32_t index_of(load::LoadReport& message, std::unordered_map<server_id, std::uint32_t>& indexes,
                        const server_id& server)
@@ -122,14 +120,14 @@
     return plus_1 == 0 ? std::nullopt : std::optional(milliseconds{plus_1 - 1});
 }
 
-void encode_news(load::StoreNews& message, store_news news)
+void encode_news(load::StoreNews& message, const store_news& news)
 {
-    shorten(news, most_changes);
     message.set_reached(news.reached_);
     message.set_table_age_plus_1(age_plus_1(news.table_age_));
     message.set_list_age_plus_1(age_plus_1(news.list_age_));
     message.set_list_from(news.list_from_.get());
     message.set_list_next(news.list_next_.get());
+    message.set_list_known(news.list_known_.get());
     std::ranges::for_each(news.changes_,
                           [&message](const server_change& change) { encode_change(*message.add_changes(), change); });
 }
@@ -142,6 +140,7 @@
     news.list_age_ = age_of(message.list_age_plus_1());
     news.list_from_ = log_offset{message.list_from()};
     news.list_next_ = log_offset{message.list_next()};
+    news.list_known_ = log_offset{message.list_known()};
     std::ranges::transform(message.changes(), std::back_inserter(news.changes_), decode_change);
     return news;
 }
@@ -157,6 +156,7 @@
     message.set_address(report.address_.get());
     message.set_configuration_version(report.version_.get());
     message.set_leaving(report.leaving_);
+    message.set_only_news(report.only_news_);
     encode_news(*message.mutable_news(), report.news_);
     std::unordered_map<server_id, std::uint32_t> indexes;
     std::size_t bytes = message.ByteSizeLong();
@@ -190,6 +190,7 @@
     report.address_ = socket_address{message.address()};
     report.version_ = configuration_version{message.configuration_version()};
     report.leaving_ = message.leaving();
+    report.only_news_ = message.only_news();
     report.news_ = decode_news(message.news());
     std::ranges::for_each(message.work(), [&](const load::Work& work) {
         if (work.server() < static_cast<std::uint32_t>(message.servers_size()))
