--- /dev/null
+++ b/soak/request/caller.cpp
@@ -0,0 +1,148 @@
+#include "request/caller.hpp"
+
+#include <algorithm>
+#include <ranges>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace cornelstall::soak
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using clock = std::chrono::steady_clock;
+using answer_parser = http::response_parser<http::string_body>;
+
+constexpr milliseconds connect_limit{1000};
+/// A caller that got no answer after this long is gone; the promise on time is broken long before.
+constexpr milliseconds caller_limit{20'000};
+constexpr std::size_t most_requests_on_connection = 12;
+constexpr std::size_t longest_pause_ms = 120;
+constexpr std::size_t longest_body = 20'000;
+/// One request in this many is given up by its caller.
+constexpr std::size_t leaving_callers = 25;
+constexpr std::size_t longest_stay_ms = 200;
+constexpr std::size_t kinds = 4;
+
+bool is_stream(call_kind kind)
+{
+    return kind == call_kind::stream || kind == call_kind::resumable;
+}
+
+sent_request draw_request(deployment& all, std::size_t vm)
+{
+    sent_request drawn;
+    drawn.kind_ = static_cast<call_kind>(all.draw(kinds));
+    drawn.id_ = "q" + std::to_string(++all.next_request_);
+    drawn.key_ = all.keys_[all.draw(all.keys_.size())];
+    const bool added = !all.added_routes_.empty() && all.draw(kinds) == 0;
+    drawn.kind_ = added ? call_kind::repeatable : drawn.kind_;
+    drawn.path_ = (added ? all.added_routes_[all.draw(all.added_routes_.size())] : path_of(drawn.kind_)) + drawn.id_;
+    drawn.body_ = "body of " + drawn.id_;
+    if (!is_stream(drawn.kind_) && all.draw(8) == 0)
+    {
+        drawn.body_.append(all.draw(longest_body), 'x');
+    }
+    drawn.vm_ = vm;
+    drawn.sent_at_ = clock::now();
+    return drawn;
+}
+
+http::request<http::string_body> message_of(const sent_request& request, const promise_bounds& bounds)
+{
+    http::request<http::string_body> message(http::verb::post, request.path_, 11);
+    message.set(http::field::host, "soak.example");
+    message.set(http::field::authorization, "Bearer " + request.key_);
+    message.set("Attempt-Id", request.id_);
+    message.set("Deadline-Ms", std::to_string(bounds.route_limit_.count()));
+    if (is_stream(request.kind_))
+    {
+        message.set("Model", "m");
+        message.set("Token-Counts", "1000,10");
+        message.set("Prompt-Prefix", "1:1000");
+    }
+    message.body() = request.body_;
+    message.prepare_payload();
+    return message;
+}
+
+/// Sends @a request on @a connection and notes the answer.
+/// @return true when the connection can take another request
+task<bool> exchange_on(deployment& all, std::shared_ptr<limited_socket> connection, sent_request request)
+{
+    const std::size_t index = all.seen_.requests_.size();
+    all.seen_.requests_.push_back(request);
+    const auto message = message_of(request, promise_bounds{});
+    const bool leaves = all.draw(leaving_callers) == 0;
+    const milliseconds stay = leaves ? milliseconds{all.draw(longest_stay_ms)} : caller_limit;
+    limit_until(*connection, clock::now() + stay);
+    boost::system::error_code failed;
+    co_await http::async_write(connection->socket_, message, redirect_error(use_awaitable, failed));
+    answer_parser parser;
+    // Errors of the read leave what has arrived in the parser.
+    co_await http::async_read(connection->socket_, connection->buffer_, parser, redirect_error(use_awaitable, failed));
+    auto& seen = all.seen_.requests_[index];
+    seen.ended_at_ = clock::now();
+    seen.left_ = connection->expired_;
+    seen.status_ = parser.is_header_done() ? parser.get().result_int() : 0;
+    seen.whole_ = parser.is_done();
+    seen.answer_ = parser.get().body();
+    seen.seal_ = std::string(parser.get()["Response-Seal"]);
+    co_return !failed && parser.get().keep_alive();
+}
+
+/// A VM in rotation, or any when none is.
+std::size_t choose_vm(deployment& all)
+{
+    std::vector<std::size_t> open;
+    for (std::size_t index = 0; index < all.vms_.size(); ++index)
+    {
+        if (all.vms_[index].in_rotation_)
+        {
+            open.push_back(index);
+        }
+    }
+    return open.empty() ? all.draw(all.vms_.size()) : open[all.draw(open.size())];
+}
+
+task<> use_connection(deployment& all, std::size_t vm, std::size_t requests)
+{
+    const auto connection =
+        co_await connect_to(all.executor_, all.vms_[vm].front_->address().get(), clock::now() + connect_limit);
+    bool open = connection != nullptr;
+    while (open && requests > 0 && !all.ending_)
+    {
+        --requests;
+        open = co_await exchange_on(all, connection, draw_request(all, vm));
+        co_await sleep_for(milliseconds{all.draw(longest_pause_ms)});
+    }
+}
+
+}  // namespace
+
+task<> call_until_end(deployment& all)
+{
+    while (!all.ending_)
+    {
+        const auto vm = choose_vm(all);
+        co_await use_connection(all, vm, 1 + all.draw(most_requests_on_connection));
+        co_await sleep_for(milliseconds{all.draw(longest_pause_ms)});
+    }
+}
+
+task<> call_each_vm(deployment& all)
+{
+    for (std::size_t vm = 0; vm < all.vms_.size(); ++vm)
+    {
+        co_await use_connection(all, vm, kinds);
+    }
+}
+
+}  // namespace cornelstall::soak
--- a/standins/include/cornelstall/standins.hpp
+++ b/standins/include/cornelstall/standins.hpp
@@ -5,3 +5,5 @@
 #include "cornelstall/standins/process/plain.hpp"
 #include "cornelstall/standins/process/platform.hpp"
 #include "cornelstall/standins/process/running_standin.hpp"
+#include "cornelstall/standins/process/server.hpp"
+#include "cornelstall/standins/process/store.hpp"
--- a/standins/src/connection/exchange.cpp
+++ b/standins/src/connection/exchange.cpp
@@ -62,17 +62,23 @@
     co_await boost::asio::async_write(*socket_, boost::asio::buffer(data), boost::asio::use_awaitable);
 }
 
-awaitable<void> exchange::reply(http_status status, json body, std::string_view extra_head)
+awaitable<void> exchange::reply_bytes(http_status status, std::string_view content_type, std::string body,
+                                      std::string_view extra_head)
 {
     if (lose_answer_)
     {
         cut();
         co_return;
     }
-    const std::string text = body.dump();
-    std::string answer = status_line(status) + "Content-Type: application/json\r\n";
-    answer.append(extra_head).append("Content-Length: ").append(std::to_string(text.size())).append("\r\n\r\n");
-    co_await write(answer + text);
+    std::string answer = status_line(status);
+    answer.append("Content-Type: ").append(content_type).append("\r\n").append(extra_head);
+    answer.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+    co_await write(answer + body);
+}
+
+awaitable<void> exchange::reply(http_status status, json body, std::string_view extra_head)
+{
+    co_await reply_bytes(status, "application/json", body.dump(), extra_head);
 }
 
 awaitable<void> exchange::refuse(http_status status, std::string_view code, std::string_view message,
@@ -82,14 +88,15 @@
     co_await reply(status, body, extra_head);
 }
 
-awaitable<void> exchange::begin_stream(std::string_view content_type, std::function<void()> on_peer_gone)
+awaitable<void> exchange::begin_stream(std::string_view content_type, std::function<void()> on_peer_gone,
+                                       std::string_view extra_head)
 {
     if (lose_answer_)
     {
         cut();
     }
     std::string head = status_line(http_status::ok) + "Content-Type: ";
-    head.append(content_type).append("\r\nTransfer-Encoding: chunked\r\n\r\n");
+    head.append(content_type).append("\r\n").append(extra_head).append("Transfer-Encoding: chunked\r\n\r\n");
     co_await write(std::move(head));
     streaming_ = std::make_shared<bool>(true);
     socket_->async_wait(tcp::socket::wait_read, [socket = socket_, gone = std::move(on_peer_gone),
--- a/standins/src/connection/exchange.hpp
+++ b/standins/src/connection/exchange.hpp
@@ -32,6 +32,9 @@
     bad_request = 400,
     not_found = 404,
     conflict = 409,
+    gone = 410,
+    precondition_failed = 412,
+    misdirected = 421,
     too_many_requests = 429,
     unavailable = 503,
     insufficient_storage = 507
@@ -75,14 +78,20 @@
     /// @brief Answers with a JSON body; adds @a extra_head (complete header lines) to the head.
     awaitable<void> reply(http_status status, json body, std::string_view extra_head = {});
 
+    /// @brief Answers with @a body as it is; adds @a extra_head (complete header lines) to the head.
+    awaitable<void> reply_bytes(http_status status, std::string_view content_type, std::string body,
+                                std::string_view extra_head = {});
+
     /// @brief Answers with an error body in the form of section 14 of the design page.
     awaitable<void> refuse(http_status status, std::string_view code, std::string_view message,
                            std::string_view extra_head = {});
 
     /// @brief Sends the head of a chunked answer and starts to watch for the peer's close.
     /// @param on_peer_gone called at most once, when the peer closes the connection
+    /// @param extra_head complete header lines
     /// @throws boost::system::system_error when the connection is closed
-    awaitable<void> begin_stream(std::string_view content_type, std::function<void()> on_peer_gone);
+    awaitable<void> begin_stream(std::string_view content_type, std::function<void()> on_peer_gone,
+                                 std::string_view extra_head = {});
 
     /// @brief Sends one chunk of a streamed answer.
     /// @throws boost::system::system_error when the connection is closed
--- a/tests/processes/process_fixture.hpp
+++ b/tests/processes/process_fixture.hpp
@@ -1,14 +1,11 @@
 #pragma once
 
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
-#include <csignal>
 #include <string>
 #include <vector>
 
 #include <nlohmann/json.hpp>
 
+#include "child_process.hpp"
 #include "cornelstall/runtime/connection/http_call.hpp"
 #include "free_port.hpp"
 #include "runtime/peer_fixture.hpp"
@@ -23,61 +20,11 @@
 inline const std::string driver_key{"driver-app-example-key"};
 inline const std::string sorting_key{"sorting-floor-example-key"};
 
-/// @brief A child process; killed when the test ends.
-class child_process
+/// @brief Starts @a program of the build.
+inline child_process start_program(const std::string& program, const std::vector<std::string>& arguments)
 {
-  public:
-    child_process(const std::string& program, const std::vector<std::string>& arguments)
-    {
-        const std::string path = std::string(BINARY_DIR) + "/" + program;
-        std::vector<char*> words{const_cast<char*>(path.c_str())};
-        std::ranges::transform(arguments, std::back_inserter(words),
-                               [](const std::string& word) { return const_cast<char*>(word.c_str()); });
-        words.push_back(nullptr);
-        if (posix_spawn(&id_, path.c_str(), nullptr, nullptr, words.data(), environ) != 0)
-        {
-            throw std::runtime_error("cannot start " + path);
-        }
-    }
-
-    ~child_process()
-    {
-        send(SIGKILL);
-        (void)wait();
-    }
-
-    child_process(const child_process&) = delete;
-    child_process& operator=(const child_process&) = delete;
-    child_process(child_process&& other) noexcept : id_(std::exchange(other.id_, 0)) {}
-    child_process& operator=(child_process&& other) noexcept
-    {
-        std::swap(id_, other.id_);
-        return *this;
-    }
-
-    void send(int signal) const
-    {
-        if (id_ > 0)
-        {
-            ::kill(id_, signal);
-        }
-    }
-
-    /// The exit code; 128 plus the signal's number when a signal ended the process.
-    int wait()
-    {
-        if (id_ <= 0)
-        {
-            return 0;
-        }
-        int status = 0;
-        ::waitpid(std::exchange(id_, 0), &status, 0);
-        return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-    }
-
-  private:
-    pid_t id_ = 0;
-};
+    return {std::string(BINARY_DIR) + "/" + program, arguments};
+}
 
 /// @brief An entry process and its address.
 struct entry_process
@@ -95,8 +42,9 @@
     fleet()
         : log_address_(tests::free_address()),
           platform_address_(tests::free_address()),
-          log_("standins/log_standin", {"--listen", log_address_.get()}),
-          platform_("standins/platform_standin", {"--listen", platform_address_.get(), "--visibility-lag-ms", "50"})
+          log_(start_program("standins/log_standin", {"--listen", log_address_.get()})),
+          platform_(start_program("standins/platform_standin",
+                                  {"--listen", platform_address_.get(), "--visibility-lag-ms", "50"}))
     {
         REQUIRE(answers(log_address_, "/streams/x/records?from=1&limit=1&wait_ms=0"));
         REQUIRE(answers(platform_address_, "/vms"));
@@ -151,7 +99,7 @@
     {
         auto address = tests::free_address();
         flags.insert(flags.end(), {"--listen", address.get(), "--models", "atlas-8b@3"});
-        engines_.emplace_back("standins/engine_standin", flags);
+        engines_.push_back(start_program("standins/engine_standin", flags));
         vms_.push_back({{"id", "engine-" + address.get()},
                         {"address", address.get()},
                         {"data_centre", data_centre},
@@ -166,7 +114,7 @@
     socket_address add_plain(const std::string& data_centre, const std::string& service)
     {
         auto address = tests::free_address();
-        engines_.emplace_back("standins/plain_standin", std::vector<std::string>{"--listen", address.get()});
+        engines_.push_back(start_program("standins/plain_standin", {"--listen", address.get()}));
         vms_.push_back({{"id", "plain-" + address.get()},
                         {"address", address.get()},
                         {"data_centre", data_centre},
@@ -190,7 +138,7 @@
                         {"state", "live"}});
         publish_vms();
         return {address, peer, data_centre,
-                child_process("apps/cornelstall/cornelstall", {"--name",
+                start_program("apps/cornelstall/cornelstall", {"--name",
                                                                "entry",
                                                                "--data-centre",
                                                                data_centre,
@@ -215,8 +163,8 @@
     /// Runs `cornelctl publish examples` and returns its exit code.
     int publish_examples()
     {
-        child_process ctl("apps/cornelctl/cornelctl",
-                          {"publish", std::string(SOURCE_DIR) + "/examples", "--log", "http://" + log_address_.get()});
+        auto ctl = start_program("apps/cornelctl/cornelctl", {"publish", std::string(SOURCE_DIR) + "/examples", "--log",
+                                                              "http://" + log_address_.get()});
         return ctl.wait();
     }
 
