--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -83,12 +83,13 @@
         co_await sleep_for(check_interval);
         check_now(all, result);
     }
+    all.ending_ = true;
+    co_await sleep_for(check_interval);
     const std::size_t first_after = all.seen_.requests_.size();
     for (int round = 0; round < final_rounds; ++round)
     {
         co_await call_each_vm(all);
     }
-    all.ending_ = true;
     co_await sleep_for(memory_limit);
     check_now(all, result);
     auto found = check_recovered(all, first_after);
--- a/soak/process/faults.cpp
+++ b/soak/process/faults.cpp
@@ -229,8 +229,11 @@
     constexpr std::array<const char*, 4> faults{R"({"streams":{"count":6,"cut_after_part":4}})",
                                                 R"({"streams":{"count":4,"silent_after_part":3}})",
                                                 R"({"lose_acknowledgement":4})", R"({"silent":4})"};
-    co_await set_faults(all, server.link_->target_, faults.at(fault.target_ % faults.size()));
+    const auto address = server.link_->target_;
+    co_await set_faults(all, address, faults.at(fault.target_ % faults.size()));
     co_await sleep_for(fault.length_);
+    // Fault counts that are not used up would last beyond the disturbance.
+    co_await set_faults(all, address, R"({"streams":{"count":0},"lose_acknowledgement":0,"silent":0})");
     end_disturbance(all, begun);
 }
 
--- a/soak/request/caller.cpp
+++ b/soak/request/caller.cpp
@@ -30,6 +30,9 @@
 constexpr std::size_t leaving_callers = 25;
 constexpr std::size_t longest_stay_ms = 200;
 constexpr std::size_t kinds = 4;
+/// One resumable generation in this many has a prompt above one server's memory, which several servers read together.
+constexpr std::size_t large_prompts = 10;
+constexpr std::int64_t large_prompt_tokens = 600'000;
 
 bool is_stream(call_kind kind)
 {
@@ -50,6 +53,10 @@
     {
         drawn.body_.append(all.draw(longest_body), 'x');
     }
+    if (drawn.kind_ == call_kind::resumable && all.draw(large_prompts) == 0)
+    {
+        drawn.prompt_tokens_ = large_prompt_tokens;
+    }
     drawn.vm_ = vm;
     drawn.sent_at_ = clock::now();
     return drawn;
@@ -65,8 +72,8 @@
     if (is_stream(request.kind_))
     {
         message.set("Model", "m");
-        message.set("Token-Counts", "1000,10");
-        message.set("Prompt-Prefix", "1:1000");
+        message.set("Token-Counts", std::to_string(request.prompt_tokens_) + ",10");
+        message.set("Prompt-Prefix", "1:" + std::to_string(request.prompt_tokens_));
     }
     message.body() = request.body_;
     message.prepare_payload();
@@ -117,7 +124,7 @@
     const auto connection =
         co_await connect_to(all.executor_, all.vms_[vm].front_->address().get(), clock::now() + connect_limit);
     bool open = connection != nullptr;
-    while (open && requests > 0 && !all.ending_)
+    while (open && requests > 0)
     {
         --requests;
         open = co_await exchange_on(all, connection, draw_request(all, vm));
--- a/soak/request/record.hpp
+++ b/soak/request/record.hpp
@@ -27,7 +27,8 @@
     std::string key_;
     std::string path_;
     std::string body_;
-    std::size_t vm_ = 0;  ///< the VM that the caller's connection went to
+    std::int64_t prompt_tokens_ = 1000;  ///< of a generation
+    std::size_t vm_ = 0;                 ///< the VM that the caller's connection went to
     time_point sent_at_;
     std::optional<time_point> ended_at_;
     bool left_ = false;    ///< the caller closed its connection before the answer
