Keep engines free for a long prompt until enough of them are idle

Cause: prompts above one engine's memory were read only by engines that were idle at that moment.

Such a prompt now chooses the engines that are idle soonest and claims them: the claim is part of the reports between VMs, so that others place nothing there, and the prompt that came first has precedence. It waits as long as the forecast says that it brings more than its engines cost. At most half of a service's engines serve joint reads, unless there is no other. A first token so late that the answer does not end before the time limit is worth nothing.

--- a/packages/decisions/include/cornelstall/decisions/process/engine_schedule.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/engine_schedule.hpp
@@ -27,6 +27,7 @@
     token_count unread_{0};        ///< prompt tokens that the engine has still to read
     token_count joint_prompt_{0};  ///< the whole prompt when several engines read it together, else 0
     bool helps_ = false;           ///< reads a part of a prompt whose answer another engine generates
+    bool claims_ = false;          ///< keeps the engine free for a prompt that waits until several engines are idle
     token_count answer_left_{0};   ///< tokens that are expected to be generated
     bool generating_ = false;      ///< the first token has been seen
     int priority_ = 0;             ///< 0 is the most urgent
@@ -66,6 +67,21 @@
 /// @brief Requests of @a load that hold a slot; those that only help another engine do not.
 [[nodiscard]] int slots_used(const engine_schedule& load);
 
+/// @brief True when the engine has no request; claims are none.
+[[nodiscard]] bool is_idle(const engine_schedule& load);
+
+/// @brief True when a request other than the one that claims with @a own keeps the engine free for itself, and came
+/// before @a arrived.
+[[nodiscard]] bool is_claimed(const engine_schedule& load, running_key own, time_point arrived);
+
+/// @brief Time until the present requests of @a load have ended.
+/// @param load advanced to @a now
+[[nodiscard]] milliseconds time_until_idle(const engine_schedule& load, const engine_profile& profile, double pace,
+                                           time_point now);
+
+/// @brief The time that an engine of @a profile needs to generate @a answer after a prompt that it holds alone.
+[[nodiscard]] milliseconds answer_time(const engine_profile& profile, token_count prompt, token_count answer);
+
 /// @brief Advances @a load to @a now by the passes that an engine of @a profile makes.
 /// @param pace measured time over predicted time; above 1 is a slow engine
 void advance(engine_schedule& load, const engine_profile& profile, double pace, time_point now);
--- a/packages/decisions/include/cornelstall/decisions/request/joint_read.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/joint_read.hpp
@@ -20,11 +20,12 @@
 struct joint_read
 {
     std::vector<joint_part> parts_;
-    placement_forecast forecast_;
+    placement_forecast forecast_;  ///< from now, waiting included
+    milliseconds starts_in_{0};    ///< until the last of the engines is idle; they are claimed meanwhile
 };
 
 /// @brief Chooses engines that read the prompt of @a request together: as many as its goal and its memory need, those
-/// where it costs the requests already there the least.
+/// that are idle first. Engines that others have claimed before are left out.
 ///
 /// Linear in the number of servers times the passes until their prompts are read.
 /// @param alone value expected on a single engine less what others lose; nothing when the prompt fits none
--- a/packages/decisions/include/cornelstall/decisions/request/server_choice.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/server_choice.hpp
@@ -24,6 +24,7 @@
     data_centre_id data_centre_;    ///< where this VM is
     std::vector<server_id> tried_;  ///< servers that are not chosen again
     std::uint64_t draw_ = 0;        ///< a random number that breaks ties
+    running_key claim_;             ///< names the claims that this request has on engines
 };
 
 /// @brief The chosen server and why.
--- a/packages/decisions/src/process/engine_schedule.cpp
+++ b/packages/decisions/src/process/engine_schedule.cpp
@@ -310,6 +310,43 @@
     return static_cast<int>(std::ranges::count_if(load.work_, std::logical_not{}, &engine_work::helps_));
 }
 
+bool is_idle(const engine_schedule& load)
+{
+    return std::ranges::all_of(load.work_, &engine_work::claims_);
+}
+
+bool is_claimed(const engine_schedule& load, running_key own, time_point arrived)
+{
+    return std::ranges::any_of(load.work_, [own, arrived](const engine_work& request) {
+        return request.claims_ && request.key_ != own &&
+               std::pair(request.arrived_, request.key_) < std::pair(arrived, own);
+    });
+}
+
+milliseconds time_until_idle(const engine_schedule& load, const engine_profile& profile, double pace, time_point now)
+{
+    future ahead{load.work_, std::max(load.simulated_until_, now)};
+    std::erase_if(ahead.work_, &engine_work::claims_);
+    const auto horizon = now + longest_forecast;
+    while (!ahead.work_.empty() && ahead.start_ < horizon)
+    {
+        const auto before = ahead.start_;
+        simulate_pass(ahead, profile, pace, running_key{}, now);
+        if (ahead.start_ == before)
+        {
+            break;  // only memory is held, whose request ends elsewhere
+        }
+    }
+    return std::chrono::duration_cast<milliseconds>(ahead.start_ - now);
+}
+
+milliseconds answer_time(const engine_profile& profile, token_count prompt, token_count answer)
+{
+    const double step = profile.step_ms_ + profile.step_ms_per_request_ +
+                        profile.step_ms_per_1k_context_ * static_cast<double>(prompt.get()) / 1000.0;
+    return milliseconds{static_cast<std::int64_t>(step * static_cast<double>(answer.get()))};
+}
+
 void advance(engine_schedule& load, const engine_profile& profile, double pace, time_point now)
 {
     while (!load.work_.empty())
--- a/packages/decisions/src/request/joint_read.cpp
+++ b/packages/decisions/src/request/joint_read.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <numeric>
 #include <ranges>
+#include <tuple>
 
 namespace cornelstall
 {
@@ -21,30 +22,42 @@
 constexpr double memory_share = 0.92;
 /// Value that each engine must bring for the orders about its memory and the chance that one of several fails.
 constexpr double cost_of_each_part = 0.1;
-/// Scores closer than this are equal; the forecast is not more exact.
-constexpr double score_step = 0.05;
+/// Engines that become idle within the same time of this length are equal; the forecast is not more exact.
+constexpr double idle_step_ms = 50.0;
 /// What a second of an engine would bring otherwise.
 constexpr double engine_second_cost = 0.4;
 /// Part of a service's engines that stay idle for requests that come while a prompt is read together.
 constexpr double idle_reserve = 0.15;
+/// Part of a service's engines that are claimed for long prompts or read them together at most.
+constexpr double joint_share = 0.5;
 
 constexpr double ms_per_s = 1000.0;
 
 struct candidate
 {
     known_server* server_ = nullptr;
-    engine_schedule* load_ = nullptr;
-    placement_forecast forecast_;
-    double score_ = 0.0;  ///< what remains of the request's value, less what others lose here
-
-    std::uint64_t tie_ = 0;  ///< keeps VMs that decide at the same moment from choosing the same engines
+    milliseconds idle_in_{0};
+    milliseconds first_token_{0};  ///< of a part, from the begin of its read
+    std::uint64_t tie_ = 0;        ///< keeps VMs that decide at the same moment from choosing the same engines
     std::int64_t room_ = 0;
 };
 
-std::int64_t room_of(const engine_schedule& load, const engine_profile& profile)
+std::int64_t room_of(const engine_profile& profile)
+{
+    return static_cast<std::int64_t>(memory_share * static_cast<double>(profile.kv_capacity_.get()));
+}
+
+/// True when the engine reads or holds a part of a prompt; its memory is not free before that prompt's answer ends.
+bool has_joint_part(const engine_schedule& load)
 {
-    const auto usable = static_cast<std::int64_t>(memory_share * static_cast<double>(profile.kv_capacity_.get()));
-    return std::max<std::int64_t>(0, usable - memory_used(load).get());
+    return std::ranges::any_of(load.work_, [](const engine_work& request) { return request.joint_prompt_.get() > 0; });
+}
+
+bool serves_joint_read(const engine_schedule& load)
+{
+    return std::ranges::any_of(load.work_, [](const engine_work& request) {
+        return request.claims_ || (request.joint_prompt_.get() > 0 && request.unread_.get() > 0);
+    });
 }
 
 /// Expected value of @a work when its first token comes @a first_token from now.
@@ -67,31 +80,34 @@
     return part;
 }
 
+/// The engines that may read a part, those that are idle soonest first. Some idle ones are left to others.
 std::vector<candidate> candidates_for(server_directory& directory, fleet_load& load, const service_description& service,
                                       const choice_request& request, int parts, time_point now)
 {
     const auto& profile = *service.engine_;
     const auto part = part_of(request.work_, parts, now);
     std::vector<candidate> found;
-    std::ranges::for_each(untried_servers(directory, service.id_, request.tried_), [&](known_server* server) {
+    const auto servers = untried_servers(directory, service.id_, request.tried_);
+    std::ranges::for_each(servers, [&](known_server* server) {
         auto& engine = load.engines_[server->listed_.id_];
-        // A long read beside streams makes them late, and those that follow are delayed as well.
-        if (server->avoid_until_ > now || !engine.work_.empty())
+        if (server->avoid_until_ > now || has_joint_part(engine) ||
+            is_claimed(engine, request.claim_, request.work_.arrived_))
         {
             return;
         }
-        candidate entry{server,
-                        &engine,
-                        forecast_placement(engine, profile, server->pace_, part, now),
-                        0.0,
-                        tie_breaker(server->listed_.id_, request.draw_),
-                        room_of(engine, profile)};
-        entry.score_ = entry.forecast_.benefit_ + value_with(request.work_, entry.forecast_.first_token_, now);
-        found.push_back(entry);
+        // A long read beside streams makes them late, and those that follow are delayed as well, so it waits for them.
+        const auto idle_in = is_idle(engine) ? milliseconds{0} : time_until_idle(engine, profile, server->pace_, now);
+        const auto read = forecast_placement({}, profile, server->pace_, part, now);
+        found.push_back(
+            {server, idle_in, read.first_token_, tie_breaker(server->listed_.id_, request.draw_), room_of(profile)});
     });
-    std::ranges::sort(found, std::ranges::greater{}, [](const candidate& entry) {
-        return std::pair(std::round(entry.score_ / score_step), entry.tie_);
+    std::ranges::sort(found, {}, [](const candidate& entry) {
+        return std::tuple(std::ceil(static_cast<double>(entry.idle_in_.count()) / idle_step_ms), entry.first_token_,
+                          entry.tie_);
     });
+    const auto idle = std::ranges::count(found, milliseconds{0}, &candidate::idle_in_);
+    const auto kept = std::min(idle, static_cast<std::ptrdiff_t>(idle_reserve * static_cast<double>(servers.size())));
+    found.erase(found.begin() + (idle - kept), found.begin() + idle);
     return found;
 }
 
@@ -125,36 +141,45 @@
     return left > 0 ? std::nullopt : std::optional(std::move(placed));
 }
 
+/// True when @a parts engines more may serve joint reads. The only prompt of this kind may have all that it needs.
+bool has_joint_room(server_directory& directory, fleet_load& load, const service_description& service,
+                    const choice_request& request, int parts)
+{
+    const auto servers = ready_servers(directory, service.id_);
+    const auto taken = std::ranges::count_if(servers, [&](const known_server* server) {
+        auto& engine = load.engines_[server->listed_.id_];
+        const bool own = std::ranges::any_of(
+            engine.work_, [&request](const engine_work& entry) { return entry.key_ == request.claim_; });
+        return !own && serves_joint_read(engine);
+    });
+    return taken == 0 || static_cast<double>(taken + parts) <= joint_share * static_cast<double>(servers.size());
+}
+
 std::optional<joint_read> plan(server_directory& directory, fleet_load& load, const service_description& service,
                                const choice_request& request, int parts, time_point now)
 {
     auto chosen = candidates_for(directory, load, service, request, parts, now);
-    const auto ready_count = static_cast<double>(ready_servers(directory, service.id_).size());
-    const auto kept_idle = static_cast<std::size_t>(idle_reserve * ready_count);
-    if (chosen.size() < static_cast<std::size_t>(parts) + kept_idle)
+    if (chosen.size() < static_cast<std::size_t>(parts) || !has_joint_room(directory, load, service, request, parts))
     {
         return std::nullopt;
     }
     chosen.resize(static_cast<std::size_t>(parts));
-    const auto answering = std::ranges::max_element(chosen, {}, [&](const candidate& entry) {
-        return slots_used(*entry.load_) < service.engine_->slots_ ? entry.room_ : std::int64_t{-1};
-    });
-    std::iter_swap(chosen.begin(), answering);
-    std::ranges::sort(chosen.begin() + 1, chosen.end(), std::ranges::greater{}, &candidate::room_);
     auto placed = place_memory(chosen, request.work_, parts, now);
     if (!placed)
     {
         return std::nullopt;
     }
-    const auto last = std::ranges::max(chosen, {}, [](const candidate& entry) { return entry.forecast_.first_token_; });
-    const double lost = std::accumulate(chosen.begin(), chosen.end(), 0.0, [](double sum, const candidate& entry) {
-        return sum - entry.forecast_.benefit_;
-    });
-    joint_read result{std::move(*placed), last.forecast_};
-    result.forecast_.fits_ = true;
-    result.forecast_.benefit_ =
-        value_with(request.work_, last.forecast_.first_token_, now) - lost - cost_of_each_part * parts -
-        engine_second_cost * reading_alone_ms(*service.engine_, request.work_.prompt_) / ms_per_s;
+    const auto start = std::ranges::max(chosen, {}, &candidate::idle_in_).idle_in_;
+    const auto read = std::ranges::max(chosen, {}, &candidate::first_token_).first_token_;
+    const auto waiting =
+        std::accumulate(chosen.begin(), chosen.end(), milliseconds{0},
+                        [start](milliseconds sum, const candidate& entry) { return sum + (start - entry.idle_in_); });
+    const double engine_ms =
+        reading_alone_ms(*service.engine_, request.work_.prompt_) + static_cast<double>(waiting.count());
+    joint_read result{std::move(*placed), {}, start};
+    result.forecast_.first_token_ = start + read;
+    result.forecast_.benefit_ = value_with(request.work_, start + read, now) - cost_of_each_part * parts -
+                                engine_second_cost * engine_ms / ms_per_s;
     return result;
 }
 
@@ -192,7 +217,7 @@
             best = std::move(planned);
         }
     }
-    if (!best || (alone && best->forecast_.benefit_ <= *alone))
+    if (!best || best->forecast_.benefit_ <= alone.value_or(0.0))
     {
         return std::nullopt;
     }
--- a/packages/decisions/src/request/server_choice.cpp
+++ b/packages/decisions/src/request/server_choice.cpp
@@ -26,6 +26,9 @@
 /// each slot beyond costs this much.
 constexpr double comfortable_slots = 0.65;
 constexpr double crowded_slot_cost = 0.15;
+/// An engine that is kept free for a long prompt is taken only when the others are worse by this; more than a short
+/// request brings.
+constexpr double claimed_engine_cost = 2.0;
 /// Benefits closer than this are equal, so that VMs that decide at the same moment spread over several engines.
 constexpr double benefit_step = 0.04;
 /// Plain calls leave their data centre when their own servers have this many requests more.
@@ -87,9 +90,11 @@
     ranked.server_ = &server;
     ranked.forecast_ = forecast_placement(load, profile, server.pace_, request.work_, now);
     const double gain = std::max(0.0, ranked.forecast_.benefit_);
-    const double idle_cost = load.work_.empty() ? std::min(idle_engine_cost, most_idle_share * gain) : 0.0;
+    const double idle_cost = is_idle(load) ? std::min(idle_engine_cost, most_idle_share * gain) : 0.0;
+    const bool claimed = std::ranges::any_of(
+        load.work_, [&request](const engine_work& entry) { return entry.claims_ && entry.key_ != request.claim_; });
     ranked.benefit_ = ranked.forecast_.benefit_ - (ranked.forecast_.fits_ ? 0.0 : full_engine_cost) - idle_cost -
-                      crowding_cost(load, profile);
+                      (claimed ? claimed_engine_cost : 0.0) - crowding_cost(load, profile);
     return ranked;
 }
 
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -14,6 +14,7 @@
 constexpr event_kind sent{1023, "server_chosen"};
 constexpr event_kind send_ended{1024, "send_ended"};
 constexpr event_kind joined{1029, "engines_joined"};
+constexpr event_kind claimed_event{1030, "engines_claimed"};
 
 /// Sends that servers refused do not count as runs; this many more are made.
 constexpr int extra_sends = 2;
@@ -23,6 +24,7 @@
 /// then it is refused, since it could no longer be in time.
 constexpr double placement_wait_share = 0.35;
 constexpr milliseconds placement_retry{100};
+constexpr milliseconds shortest_retry{10};
 /// Prompts are read by several engines when a single one needs more than this part of the goal.
 constexpr double joint_read_share = 0.5;
 
@@ -33,8 +35,19 @@
     placement_forecast forecast_;
     std::size_t considered_ = 0;
     std::vector<joint_part> parts_;  ///< the answering engine first
+    milliseconds starts_in_{0};      ///< until the engines are idle
 };
 
+/// How long the caller waits for the first token. A token that comes so late that the answer does not end in time is
+/// worth nothing.
+milliseconds patience_of(const exchange& current, const engine_work& work)
+{
+    const auto limit = std::chrono::duration_cast<milliseconds>(current.deadline_ - current.arrived_);
+    const auto& engine = current.service_->engine_;
+    const auto answer = engine ? answer_time(*engine, work.prompt_, work.answer_left_) : milliseconds{0};
+    return std::max(milliseconds{1}, std::min(caller_patience(work.target_, work.max_gap_), limit - answer));
+}
+
 engine_work work_of(exchange& current)
 {
     engine_work work;
@@ -53,8 +66,7 @@
     work.priority_ = current.priority_;
     work.target_ = current.route_->latency_target_;
     work.max_gap_ = current.route_->max_event_gap_;
-    work.patience_ = std::min(caller_patience(work.target_, work.max_gap_),
-                              std::chrono::duration_cast<milliseconds>(current.deadline_ - current.arrived_));
+    work.patience_ = patience_of(current, work);
     work.late_ = current.late_;
     work.arrived_ = current.arrived_;
     work.sent_at_ = std::chrono::steady_clock::now();
@@ -131,11 +143,53 @@
     return forecast.fits_ && static_cast<double>((waited + forecast.first_token_).count()) <= limit;
 }
 
-std::optional<send_plan> plan_send(exchange& current, const engine_work& work, time_point now)
+/// Engines that are kept free for a long prompt until all that it needs are idle.
+struct claimed_engines
+{
+    running_key key_;
+    std::vector<server_id> servers_;
+    std::optional<load_entry> entry_;  ///< tells the other VMs
+
+    void release()
+    {
+        entry_.reset();
+        servers_.clear();
+    }
+};
+
+/// Claims the engines of @a plan instead of those claimed before.
+void claim_engines(exchange& current, claimed_engines& claimed, const send_plan& plan)
+{
+    std::vector<server_id> servers;
+    std::ranges::transform(plan.parts_, std::back_inserter(servers),
+                           [](const joint_part& part) { return part.server_.id_; });
+    std::ranges::sort(servers);
+    if (servers == claimed.servers_)
+    {
+        return;
+    }
+    engine_work claim;
+    claim.key_ = claimed.key_;
+    claim.claims_ = true;
+    claim.helps_ = true;
+    claim.value_ = 0.0;
+    claim.arrived_ = current.arrived_;
+    auto parts = plan.parts_;
+    std::ranges::for_each(parts, [&claim](joint_part& part) { part.work_ = claim; });
+    claimed.release();
+    claimed.entry_.emplace(current.state_, parts, claimed.key_);
+    claimed.servers_ = std::move(servers);
+    log_event(severity::info, claimed_event, "engines are kept free for a long prompt",
+              {{"request", current.facts_.id_.get()},
+               {"engines", std::to_string(parts.size())},
+               {"starts_in_ms", std::to_string(plan.starts_in_.count())}});
+}
+
+std::optional<send_plan> plan_send(exchange& current, const engine_work& work, running_key claim, time_point now)
 {
     auto& state = current.state_;
     const choice_request wanted{current.service_->id_, work, state.settings_.data_centre_, current.tried_,
-                                state.random_()};
+                                state.random_(),       claim};
     const bool too_large = exceeds_one_engine(current);
     const auto choice = choose_server(state.directory_, state.load_, *current.service_, wanted, now);
     if (choice.server_ == nullptr)
@@ -150,7 +204,7 @@
         if (joint)
         {
             const auto server = joint->parts_.front().server_;
-            return send_plan{server, joint->forecast_, choice.considered_, std::move(joint->parts_)};
+            return send_plan{server, joint->forecast_, choice.considered_, std::move(joint->parts_), joint->starts_in_};
         }
     }
     // A request that a server has had is not refused any more for what it costs others.
@@ -159,7 +213,7 @@
         return std::nullopt;
     }
     const auto& server = choice.server_->listed_;
-    return send_plan{server, choice.forecast_, choice.considered_, {{server, work, token_count{0}}}};
+    return send_plan{server, choice.forecast_, choice.considered_, {{server, work, token_count{0}}}, milliseconds{0}};
 }
 
 /// True when another server may be tried after a send that ended with @a end.
@@ -246,8 +300,8 @@
 
 /// Waits for engines that can take the request.
 /// @return the plan, or nothing when the request is better refused; one that a server has had waits until its time
-/// limit
-task<std::optional<send_plan>> await_plan(exchange& current)
+/// limit, and a long prompt while claimed engines become idle
+task<std::optional<send_plan>> await_plan(exchange& current, claimed_engines& claimed)
 {
     const auto patience =
         std::chrono::duration_cast<time_point::duration>(current.route_->latency_target_ * placement_wait_share);
@@ -255,23 +309,34 @@
     while (true)
     {
         const auto now = std::chrono::steady_clock::now();
-        auto work = work_of(current);
-        auto plan = plan_send(current, work, now);
-        if (plan || now >= std::min(give_up, current.deadline_) || current.watch_->left_ || !has_other_server(current))
+        const auto work = work_of(current);
+        auto plan = plan_send(current, work, claimed.key_, now);
+        const bool waits = plan && plan->starts_in_.count() > 0;
+        const bool over = now >= current.deadline_ || current.watch_->left_ || !has_other_server(current);
+        if ((plan && !waits) || over || (!plan && now >= give_up))
+        {
+            co_return waits ? std::nullopt : std::move(plan);
+        }
+        if (waits)
+        {
+            claim_engines(current, claimed, *plan);
+        }
+        else
         {
-            co_return plan;
+            claimed.release();
         }
-        co_await sleep_for(placement_retry);
+        co_await sleep_for(waits ? std::clamp(plan->starts_in_, shortest_retry, placement_retry) : placement_retry);
     }
 }
 
 /// Makes one send as @a plan says.
-task<send_end> send_as_planned(exchange& current, const send_plan& plan)
+task<send_end> send_as_planned(exchange& current, const send_plan& plan, claimed_engines& claimed)
 {
     ++current.sends_;
     current.tried_.push_back(plan.server_.id_);
     log_plan(current, plan);
     const load_entry running(current.state_, plan.parts_, current.running_);
+    claimed.release();
     const auto end = co_await send_to_server(current, plan.server_, plan.forecast_);
     current.state_.metrics_.count("gateway_sends_total", {{"end", name_of(end)}});
     log_event(severity::info, send_ended, name_of(end),
@@ -293,9 +358,11 @@
 {
     auto end = send_end::did_not_run;
     int refused_plans = 0;
+    claimed_engines claimed;
+    claimed.key_ = make_running_key(current.state_);
     while (true)
     {
-        const auto plan = co_await await_plan(current);
+        const auto plan = co_await await_plan(current, claimed);
         const auto now = std::chrono::steady_clock::now();
         if (now >= current.deadline_)
         {
@@ -323,7 +390,7 @@
             current.state_.metrics_.count("gateway_retries_refused_total", {{"reason", "budget"}});
             co_return end;
         }
-        end = co_await send_as_planned(current, *plan);
+        end = co_await send_as_planned(current, *plan, claimed);
         const bool over = end == send_end::answered || end == send_end::broken_off || end == send_end::out_of_time;
         if (over || !may_send_again(current, end))
         {
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -38,6 +38,7 @@
     message.set_target_ms(static_cast<std::uint32_t>(work.target_.count()));
     message.set_max_gap_ms(static_cast<std::uint32_t>(work.max_gap_.count()));
     message.set_late(work.late_);
+    message.set_claims(work.claims_);
     if (work.joint_prompt_.get() > 0)
     {
         message.set_joint_prompt_tokens(static_cast<std::uint32_t>(work.joint_prompt_.get()));
@@ -64,6 +65,12 @@
     work.arrived_ = now - milliseconds{message.age_ms()};
     work.sent_at_ = now;
     work.value_ = value_of(work.prompt_, work.answer_left_);
+    if (message.claims())
+    {
+        work.claims_ = true;
+        work.helps_ = true;
+        work.value_ = 0.0;
+    }
     if (message.joint_prompt_tokens() > 0)
     {
         work.joint_prompt_ = token_count{message.joint_prompt_tokens()};
--- a/tests/wire/load_codec_test.cpp
+++ b/tests/wire/load_codec_test.cpp
@@ -72,6 +72,25 @@
     CHECK(report->work_[1].work_.value_ == 0.0);
 }
 
+TEST_CASE("claims on engines are reported and take nothing of the engine")
+{
+    auto written = report_with(1);
+    auto& claim = written.work_[0].work_;
+    claim.claims_ = true;
+    claim.helps_ = true;
+    claim.prompt_ = token_count{0};
+    claim.answer_left_ = token_count{0};
+    const auto report = decode_load_report(encode_load_report(written, byte_count{1400}, now), now);
+    REQUIRE(report);
+    engine_schedule load;
+    add_work(load, report->work_.at(0).work_, now);
+    CHECK(is_idle(load));
+    CHECK(slots_used(load) == 0);
+    CHECK(memory_used(load) == token_count{0});
+    CHECK(is_claimed(load, running_key{1}, now));
+    CHECK_FALSE(is_claimed(load, running_key{1}, now - std::chrono::seconds{5}));
+}
+
 TEST_CASE("a report stays within one datagram")
 {
     const auto bytes = encode_load_report(report_with(500), byte_count{1400}, now);
