Divide a large fleet into cells

Cause: every VM reported its load to all others.

Above 96 VMs the fleet and the servers of each service are divided into 2, 4, 8... cells by the leading bits of a hash. VMs report within their cell and choose among its servers, or among all while half of these are to be avoided; of more than 256 servers a part is drawn. VMs tell how many VMs they know, so that all divide alike, and the retry budget is divided by that number.

Ruled out: longer gathering of changes, since a VM has about four a second. Tests: tests/decisions/cells_test.cpp.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -7,6 +7,7 @@
 #include "cornelstall/decisions/connection/load_report.hpp"
 #include "cornelstall/decisions/connection/peer_delta.hpp"
 #include "cornelstall/decisions/connection/store_news.hpp"
+#include "cornelstall/decisions/process/cells.hpp"
 #include "cornelstall/decisions/process/claims.hpp"
 #include "cornelstall/decisions/process/data_centres.hpp"
 #include "cornelstall/decisions/process/engine_queue.hpp"
--- a/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
@@ -27,7 +27,8 @@
     configuration_version version_;
     bool leaving_ = false;
     store_news news_;
-    bool only_news_ = false;  ///< says nothing of the work
+    bool only_news_ = false;     ///< says nothing of the work
+    std::size_t vms_known_ = 0;  ///< VMs that the sender knows or has heard of, itself included
 };
 
 /// @brief A VM that reports its load.
@@ -47,8 +48,12 @@
 struct load_peers
 {
     std::map<vm_id, load_peer> peers_;
+    std::size_t vms_reported_ = 0;  ///< the most VMs that another VM knows
 };
 
+/// @brief VMs that are known, this one included. VMs of other cells that came later are known from what others report.
+[[nodiscard]] std::size_t known_vms(const load_peers& peers);
+
 /// @brief Takes over @a report into @a load.
 /// @return false when the report is older than one that was taken over already
 bool apply_report(load_peers& peers, fleet_load& load, const load_report& report, time_point now);
--- a/packages/decisions/include/cornelstall/decisions/request/server_choice.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/server_choice.hpp
@@ -4,6 +4,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cornelstall/decisions/process/cells.hpp"
 #include "cornelstall/decisions/process/engine_schedule.hpp"
 #include "cornelstall/decisions/process/server_directory.hpp"
 
@@ -25,6 +26,8 @@
     std::vector<server_id> tried_;  ///< servers that are not chosen again
     std::uint64_t draw_ = 0;        ///< a random number that breaks ties
     running_key claim_;             ///< names the claims that this request has on engines
+    cell_division division_;        ///< of the fleet
+    vm_id vm_;                      ///< this VM, whose cell's servers are preferred
 };
 
 /// @brief The chosen server and why.
@@ -38,9 +41,10 @@
 /// @brief Orders servers that are equally good, differently for each @a draw.
 [[nodiscard]] std::uint64_t tie_breaker(const server_id& id, std::uint64_t draw);
 
-/// @brief The ready servers of @a service that are not among @a tried.
-[[nodiscard]] std::vector<known_server*> untried_servers(server_directory& directory, const service_id& service,
-                                                         const std::vector<server_id>& tried);
+/// @brief The ready servers of the service of @a request that were not tried: those of the own cell, or all when half
+/// of these are to be avoided at @a now. Of very many servers a part is drawn.
+[[nodiscard]] std::vector<known_server*> untried_servers(server_directory& directory, const choice_request& request,
+                                                         time_point now);
 
 /// @brief Chooses a server: for engines the one where the request's expected value is the largest, for plain services
 /// the one with the fewest requests, the own data centre first. Servers to avoid are taken only when no other is left.
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -63,6 +63,11 @@
 
 }  // namespace
 
+std::size_t known_vms(const load_peers& peers)
+{
+    return std::max(peers.peers_.size() + 1, peers.vms_reported_);
+}
+
 bool apply_report(load_peers& peers, fleet_load& load, const load_report& report, time_point now)
 {
     auto& peer = peers.peers_[report.vm_];
@@ -71,6 +76,7 @@
     {
         return false;
     }
+    peers.vms_reported_ = std::max(peers.vms_reported_, report.vms_known_);
     if (report.only_news_)
     {
         peer.sequence_ = report.sequence_;
--- a/packages/decisions/src/request/joint_read.cpp
+++ b/packages/decisions/src/request/joint_read.cpp
@@ -87,7 +87,7 @@
     const auto& profile = *service.engine_;
     const auto part = part_of(request.work_, parts, now);
     std::vector<candidate> found;
-    const auto servers = untried_servers(directory, service.id_, request.tried_);
+    const auto servers = untried_servers(directory, request, now);
     std::ranges::for_each(servers, [&](known_server* server) {
         auto& engine = load.engines_[server->listed_.id_];
         if (server->avoid_until_ > now || has_joint_part(engine) ||
@@ -142,10 +142,10 @@
 }
 
 /// True when @a parts engines more may serve joint reads. The only prompt of this kind may have all that it needs.
-bool has_joint_room(server_directory& directory, fleet_load& load, const service_description& service,
-                    const choice_request& request, int parts)
+bool has_joint_room(server_directory& directory, fleet_load& load, const choice_request& request, int parts,
+                    time_point now)
 {
-    const auto servers = ready_servers(directory, service.id_);
+    const auto servers = untried_servers(directory, request, now);
     const auto taken = std::ranges::count_if(servers, [&](const known_server* server) {
         auto& engine = load.engines_[server->listed_.id_];
         const bool own = std::ranges::any_of(
@@ -159,7 +159,7 @@
                                const choice_request& request, int parts, time_point now)
 {
     auto chosen = candidates_for(directory, load, service, request, parts, now);
-    if (chosen.size() < static_cast<std::size_t>(parts) || !has_joint_room(directory, load, service, request, parts))
+    if (chosen.size() < static_cast<std::size_t>(parts) || !has_joint_room(directory, load, request, parts, now))
     {
         return std::nullopt;
     }
--- a/packages/decisions/src/request/server_choice.cpp
+++ b/packages/decisions/src/request/server_choice.cpp
@@ -31,6 +31,8 @@
 constexpr double claimed_engine_cost = 2.0;
 /// Benefits closer than this are equal, so that VMs that decide at the same moment spread over several engines.
 constexpr double benefit_step = 0.04;
+/// Servers that are forecast for one request; more bring little and cost processor time.
+constexpr std::size_t most_considered = 256;
 /// Plain calls leave their data centre when their own servers have this many requests more.
 constexpr double other_data_centre_requests = 1.0;
 
@@ -108,6 +110,32 @@
     return ranked;
 }
 
+std::vector<known_server*> keep_own_cell(std::vector<known_server*> servers, const choice_request& request,
+                                         time_point now)
+{
+    const auto division = divide_servers(request.division_, servers.size());
+    const auto own = cell_of(division, request.vm_.get());
+    std::vector<known_server*> in_cell;
+    std::ranges::copy_if(servers, std::back_inserter(in_cell), [&](const known_server* server) {
+        return cell_of(division, server->listed_.id_.get()) == own;
+    });
+    const auto usable =
+        std::ranges::count_if(in_cell, [now](const known_server* server) { return server->avoid_until_ <= now; });
+    return 2 * usable < std::ssize(in_cell) || in_cell.empty() ? servers : in_cell;
+}
+
+/// Draws at most `most_considered` of @a servers.
+std::vector<known_server*> draw_some(std::vector<known_server*> servers, std::uint64_t draw)
+{
+    if (servers.size() > most_considered)
+    {
+        std::ranges::nth_element(servers, servers.begin() + most_considered, {},
+                                 [draw](const known_server* server) { return tie_breaker(server->listed_.id_, draw); });
+        servers.resize(most_considered);
+    }
+    return servers;
+}
+
 }  // namespace
 
 std::uint64_t tie_breaker(const server_id& id, std::uint64_t draw)
@@ -115,14 +143,13 @@
     return std::hash<server_id>{}(id) ^ draw;
 }
 
-std::vector<known_server*> untried_servers(server_directory& directory, const service_id& service,
-                                           const std::vector<server_id>& tried)
+std::vector<known_server*> untried_servers(server_directory& directory, const choice_request& request, time_point now)
 {
-    auto servers = ready_servers(directory, service);
-    std::erase_if(servers, [&tried](const known_server* server) {
-        return std::ranges::find(tried, server->listed_.id_) != tried.end();
+    auto servers = ready_servers(directory, request.service_);
+    std::erase_if(servers, [&request](const known_server* server) {
+        return std::ranges::find(request.tried_, server->listed_.id_) != request.tried_.end();
     });
-    return servers;
+    return draw_some(keep_own_cell(std::move(servers), request, now), request.draw_);
 }
 
 server_choice choose_server(server_directory& directory, fleet_load& load, const service_description& service,
@@ -130,7 +157,7 @@
 {
     std::vector<ranked_server> ranked;
     const auto unreachable = unreachable_data_centres(directory, now);
-    std::ranges::for_each(untried_servers(directory, service.id_, request.tried_), [&](known_server* server) {
+    std::ranges::for_each(untried_servers(directory, request, now), [&](known_server* server) {
         auto& engine = load.engines_[server->listed_.id_];
         auto entry = service.engine_ ? rank_engine(*server, engine, *service.engine_, request, now)
                                      : rank_plain(*server, engine);
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -119,6 +119,9 @@
 /// is no reason to end an answer.
 [[nodiscard]] bool can_give_up_send(const exchange& current);
 
+/// @brief What the choice of a server for @a current depends on, without its work.
+[[nodiscard]] choice_request choice_for(const exchange& current);
+
 /// @brief True when a ready server of the service was not tried yet.
 [[nodiscard]] bool has_other_server(const exchange& current);
 
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -52,6 +52,7 @@
     report.address_ = socket_address{state.settings_.ip_ + ":" + std::to_string(state.settings_.load_port_)};
     report.version_ = state.table_ ? state.table_->version_ : configuration_version{};
     report.leaving_ = state.stopping_;
+    report.vms_known_ = known_vms(state.peers_);
     report.news_ = std::move(news);
     return report;
 }
@@ -59,9 +60,11 @@
 void send_to_peers(load_exchange& exchange, const load_report& report, time_point now)
 {
     const auto bytes = encode_load_report(report, datagram_limit, now);
+    const auto division = divide_fleet(known_vms(exchange.state_.peers_));
+    const auto own = cell_of(division, report.vm_.get());
     std::ranges::for_each(exchange.state_.peers_.peers_, [&](const auto& entry) {
         const auto endpoint = parse_endpoint(entry.second.address_.get());
-        if (!endpoint || now - entry.second.heard_at_ > forget_after)
+        if (!endpoint || now - entry.second.heard_at_ > forget_after || cell_of(division, entry.first.get()) != own)
         {
             return;
         }
@@ -144,9 +147,9 @@
     {
         apply_news(state, report->news_, report->version_);
     }
+    divide_among(state.retry_budget_, known_vms(state.peers_));
     if (!known)
     {
-        divide_among(state.retry_budget_, state.peers_.peers_.size() + 1);
         log_event(severity::info, peer_found, "a VM reports its load",
                   {{"vm", report->vm_.get()}, {"address", report->address_.get()}});
     }
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -160,9 +160,22 @@
            (current.route_->kind_ == request_kind::streaming && current.route_->resumable_);
 }
 
+choice_request choice_for(const exchange& current)
+{
+    auto& state = current.state_;
+    choice_request wanted;
+    wanted.service_ = current.service_->id_;
+    wanted.data_centre_ = state.settings_.data_centre_;
+    wanted.tried_ = current.tried_;
+    wanted.draw_ = state.random_();
+    wanted.division_ = divide_fleet(known_vms(state.peers_));
+    wanted.vm_ = vm_id{state.settings_.name_};
+    return wanted;
+}
+
 bool has_other_server(const exchange& current)
 {
-    return !untried_servers(current.state_.directory_, current.service_->id_, current.tried_).empty();
+    return !untried_servers(current.state_.directory_, choice_for(current), std::chrono::steady_clock::now()).empty();
 }
 
 bool exceeds_one_engine(const exchange& current)
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -188,8 +188,9 @@
 std::optional<send_plan> plan_send(exchange& current, const engine_work& work, running_key claim, time_point now)
 {
     auto& state = current.state_;
-    const choice_request wanted{current.service_->id_, work, state.settings_.data_centre_, current.tried_,
-                                state.random_(),       claim};
+    auto wanted = choice_for(current);
+    wanted.work_ = work;
+    wanted.claim_ = claim;
     const bool too_large = exceeds_one_engine(current);
     const auto choice = choose_server(state.directory_, state.load_, *current.service_, wanted, now);
     if (choice.server_ == nullptr)
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -164,6 +164,7 @@
     message.set_configuration_version(report.version_.get());
     message.set_leaving(report.leaving_);
     message.set_only_news(report.only_news_);
+    message.set_vms_known(static_cast<std::uint32_t>(report.vms_known_));
     encode_news(*message.mutable_news(), report.news_);
     std::unordered_map<server_id, std::uint32_t> indexes;
     std::size_t bytes = message.ByteSizeLong();
@@ -198,6 +199,7 @@
     report.version_ = configuration_version{message.configuration_version()};
     report.leaving_ = message.leaving();
     report.only_news_ = message.only_news();
+    report.vms_known_ = message.vms_known();
     report.news_ = decode_news(message.news());
     std::ranges::for_each(message.work(), [&](const load::Work& work) {
         if (work.server() < static_cast<std::uint32_t>(message.servers_size()))
--- a/soak/process/deployment.cpp
+++ b/soak/process/deployment.cpp
@@ -360,15 +360,15 @@
     all.seen_.changes_.push_back({kind, name, clock::now()});
 }
 
-std::size_t begin_disturbance(deployment& all, disturbed_part part, std::optional<std::size_t> vm)
+std::size_t begin_disruption(deployment& all, disrupted_part part, std::optional<std::size_t> vm)
 {
-    all.seen_.disturbances_.push_back({clock::now(), time_point::max(), part, vm});
-    return all.seen_.disturbances_.size() - 1;
+    all.seen_.disruptions_.push_back({clock::now(), time_point::max(), part, vm});
+    return all.seen_.disruptions_.size() - 1;
 }
 
-void end_disturbance(deployment& all, std::size_t begun)
+void end_disruption(deployment& all, std::size_t begun)
 {
-    all.seen_.disturbances_[begun].until_ = clock::now();
+    all.seen_.disruptions_[begun].until_ = clock::now();
 }
 
 }  // namespace cornelstall::soak
--- a/soak/process/deployment.hpp
+++ b/soak/process/deployment.hpp
@@ -101,8 +101,8 @@
 /// @brief Notes a change that the store has acknowledged now.
 void note_change(deployment& all, acknowledged_change::kind kind, const std::string& name);
 
-/// @brief Notes a disturbance until the returned index is ended.
-[[nodiscard]] std::size_t begin_disturbance(deployment& all, disturbed_part part, std::optional<std::size_t> vm);
-void end_disturbance(deployment& all, std::size_t begun);
+/// @brief Notes a disruption until the returned index is ended.
+[[nodiscard]] std::size_t begin_disruption(deployment& all, disrupted_part part, std::optional<std::size_t> vm);
+void end_disruption(deployment& all, std::size_t begun);
 
 }  // namespace cornelstall::soak
--- a/soak/process/faults.cpp
+++ b/soak/process/faults.cpp
@@ -46,20 +46,20 @@
 task<> kill_vm(deployment& all, const planned_fault& fault)
 {
     const auto index = vm_of(all, fault);
-    const auto begun = begin_disturbance(all, disturbed_part::vm, index);
+    const auto begun = begin_disruption(all, disrupted_part::vm, index);
     all.vms_[index].process_.reset();
     co_await sleep_for(fault.length_ / 4);
     if (!all.vms_[index].process_)
     {
         start_vm(all, index);
     }
-    end_disturbance(all, begun);
+    end_disruption(all, begun);
 }
 
 task<> pause_vm(deployment& all, const planned_fault& fault)
 {
     const auto index = vm_of(all, fault);
-    const auto begun = begin_disturbance(all, disturbed_part::vm, index);
+    const auto begun = begin_disruption(all, disrupted_part::vm, index);
     if (all.vms_[index].process_)
     {
         all.vms_[index].process_->send(SIGSTOP);
@@ -69,7 +69,7 @@
     {
         all.vms_[index].process_->send(SIGCONT);
     }
-    end_disturbance(all, begun);
+    end_disruption(all, begun);
 }
 
 task<> stop_vm(deployment& all, const planned_fault& fault)
@@ -119,10 +119,10 @@
     co_return;
 }
 
-task<> disturb_front(deployment& all, const planned_fault& fault)
+task<> disrupt_front(deployment& all, const planned_fault& fault)
 {
     const auto index = vm_of(all, fault);
-    const auto begun = begin_disturbance(all, disturbed_part::vm, index);
+    const auto begun = begin_disruption(all, disrupted_part::vm, index);
     auto& link = all.vms_[index].front_->link_;
     link.delay_ = fault.target_ % 2 == 0 ? slow_link : milliseconds{0};
     link.hold_answers_ = fault.target_ % 3 == 0;
@@ -131,13 +131,13 @@
     link.delay_ = milliseconds{0};
     link.hold_answers_ = false;
     ++link.reset_;
-    end_disturbance(all, begun);
+    end_disruption(all, begun);
 }
 
 task<> cut_store_link(deployment& all, const planned_fault& fault)
 {
     const auto index = vm_of(all, fault);
-    const auto begun = begin_disturbance(all, disturbed_part::store, index);
+    const auto begun = begin_disruption(all, disrupted_part::store, index);
     auto& link = all.vms_[index].store_->link_;
     link.hold_requests_ = fault.target_ % 2 == 0;
     link.hold_answers_ = fault.target_ % 2 == 1;
@@ -145,28 +145,28 @@
     co_await sleep_for(fault.length_);
     link.hold_requests_ = link.hold_answers_ = link.refuse_ = false;
     ++link.silenced_;
-    end_disturbance(all, begun);
+    end_disruption(all, begun);
 }
 
 task<> pause_store(deployment& all, const planned_fault& fault)
 {
-    const auto begun = begin_disturbance(all, disturbed_part::store, std::nullopt);
+    const auto begun = begin_disruption(all, disrupted_part::store, std::nullopt);
     all.store_->send(SIGSTOP);
     co_await sleep_for(fault.length_);
     all.store_->send(SIGCONT);
-    end_disturbance(all, begun);
+    end_disruption(all, begun);
 }
 
-task<> disturb_store(deployment& all, const planned_fault& fault)
+task<> disrupt_store(deployment& all, const planned_fault& fault)
 {
-    const auto begun = begin_disturbance(all, disturbed_part::store, std::nullopt);
+    const auto begun = begin_disruption(all, disrupted_part::store, std::nullopt);
     constexpr std::array<const char*, 3> faults{R"({"outage":true})", R"({"delay_ms":400})",
                                                 R"({"lose_acknowledgement":20,"match":"POST /log-append"})"};
     co_await set_faults(all, all.store_address_, faults.at(fault.target_ % faults.size()));
     co_await sleep_for(fault.length_);
     co_await set_faults(all, all.store_address_,
                         R"({"outage":false,"delay_ms":0,"lose_acknowledgement":0,"match":""})");
-    end_disturbance(all, begun);
+    end_disruption(all, begun);
 }
 
 task<> kill_server(deployment& all, const planned_fault& fault)
@@ -176,19 +176,19 @@
     {
         co_return;
     }
-    const auto begun = begin_disturbance(all, disturbed_part::server, std::nullopt);
+    const auto begun = begin_disruption(all, disrupted_part::server, std::nullopt);
     all.servers_[index].process_.reset();
     co_await sleep_for(entry_lapse);
     co_await list_server_process(all, index, "");
     co_await sleep_for(fault.length_ / 4);
     co_await start_server_process(all, index);
-    end_disturbance(all, begun);
+    end_disruption(all, begun);
 }
 
 task<> pause_server(deployment& all, const planned_fault& fault)
 {
     const auto index = server_of(all, fault);
-    const auto begun = begin_disturbance(all, disturbed_part::server, std::nullopt);
+    const auto begun = begin_disruption(all, disrupted_part::server, std::nullopt);
     if (all.servers_[index].process_)
     {
         all.servers_[index].process_->send(SIGSTOP);
@@ -198,7 +198,7 @@
     {
         all.servers_[index].process_->send(SIGCONT);
     }
-    end_disturbance(all, begun);
+    end_disruption(all, begun);
 }
 
 task<> replace_server(deployment& all, const planned_fault& fault)
@@ -215,31 +215,31 @@
     {
         co_return;
     }
-    const auto begun = begin_disturbance(all, disturbed_part::server, std::nullopt);
+    const auto begun = begin_disruption(all, disrupted_part::server, std::nullopt);
     all.servers_[index].process_.reset();
     co_await list_server_process(all, index, "");
     co_await start_server_process(all, index);
-    end_disturbance(all, begun);
+    end_disruption(all, begun);
 }
 
-task<> disturb_server(deployment& all, const planned_fault& fault)
+task<> disrupt_server(deployment& all, const planned_fault& fault)
 {
     const auto& server = all.servers_[server_of(all, fault)];
-    const auto begun = begin_disturbance(all, disturbed_part::server, std::nullopt);
+    const auto begun = begin_disruption(all, disrupted_part::server, std::nullopt);
     constexpr std::array<const char*, 4> faults{R"({"streams":{"count":6,"cut_after_part":4}})",
                                                 R"({"streams":{"count":4,"silent_after_part":3}})",
                                                 R"({"lose_acknowledgement":4})", R"({"silent":4})"};
     const auto address = server.link_->target_;
     co_await set_faults(all, address, faults.at(fault.target_ % faults.size()));
     co_await sleep_for(fault.length_);
-    // Fault counts that are not used up would last beyond the disturbance.
+    // Fault counts that are not used up would last beyond the disruption.
     co_await set_faults(all, address, R"({"streams":{"count":0},"lose_acknowledgement":0,"silent":0})");
-    end_disturbance(all, begun);
+    end_disruption(all, begun);
 }
 
-task<> disturb_server_link(deployment& all, const planned_fault& fault)
+task<> disrupt_server_link(deployment& all, const planned_fault& fault)
 {
-    const auto begun = begin_disturbance(all, disturbed_part::server, std::nullopt);
+    const auto begun = begin_disruption(all, disrupted_part::server, std::nullopt);
     const auto index = server_of(all, fault);
     auto& link = all.servers_[index].link_->link_;
     link.delay_ = fault.target_ % 2 == 0 ? slow_link : milliseconds{0};
@@ -250,7 +250,7 @@
     link.delay_ = milliseconds{0};
     link.hold_requests_ = link.hold_answers_ = false;
     ++link.silenced_;
-    end_disturbance(all, begun);
+    end_disruption(all, begun);
 }
 
 task<> revoke_key(deployment& all, const planned_fault& fault)
@@ -284,15 +284,15 @@
                                                   {"pause_vm", pause_vm},
                                                   {"stop_vm", stop_vm},
                                                   {"reload_vm", reload_vm},
-                                                  {"disturb_front", disturb_front},
+                                                  {"disrupt_front", disrupt_front},
                                                   {"cut_store_link", cut_store_link},
                                                   {"pause_store", pause_store},
-                                                  {"disturb_store", disturb_store},
+                                                  {"disrupt_store", disrupt_store},
                                                   {"kill_server", kill_server},
                                                   {"pause_server", pause_server},
                                                   {"replace_server", replace_server},
-                                                  {"disturb_server", disturb_server},
-                                                  {"disturb_server_link", disturb_server_link},
+                                                  {"disrupt_server", disrupt_server},
+                                                  {"disrupt_server_link", disrupt_server_link},
                                                   {"revoke_key", revoke_key}}};
 /// Changes of routes come with every soak, beside what is drawn.
 constexpr fault_kind change_kind{"change_routes", change_routes};
--- a/soak/process/promises.cpp
+++ b/soak/process/promises.cpp
@@ -38,10 +38,10 @@
     return runs;
 }
 
-/// True when @a part of @a vm was disturbed between @a from and @a until.
-bool is_disturbed(const observations& seen, disturbed_part part, std::size_t vm, time_point from, time_point until)
+/// True when @a part of @a vm was disrupted between @a from and @a until.
+bool is_disrupted(const observations& seen, disrupted_part part, std::size_t vm, time_point from, time_point until)
 {
-    return std::ranges::any_of(seen.disturbances_, [&](const disturbance& each) {
+    return std::ranges::any_of(seen.disruptions_, [&](const disruption& each) {
         return each.part_ == part && (!each.vm_ || *each.vm_ == vm) && each.from_ <= until && from <= each.until_;
     });
 }
@@ -164,7 +164,7 @@
     std::ranges::for_each(seen.requests_, [&](const sent_request& request) {
         const auto limit = request.sent_at_ + bounds.route_limit_ + bounds.answer_slack_;
         const auto end = request.ended_at_.value_or(now);
-        if (end > limit && !is_disturbed(seen, disturbed_part::vm, request.vm_, request.sent_at_ - bounds.stable_, end))
+        if (end > limit && !is_disrupted(seen, disrupted_part::vm, request.vm_, request.sent_at_ - bounds.stable_, end))
         {
             found.push_back({"answers_in_time", request.id_, "after " + in_ms(end - request.sent_at_)});
         }
@@ -183,7 +183,7 @@
     std::ranges::for_each(seen.stops_, [&](const planned_stop& stop) {
         const auto vm = "vm-" + std::to_string(stop.vm_);
         const auto end = stop.ended_at_.value_or(now);
-        const bool calm = !is_disturbed(seen, disturbed_part::vm, stop.vm_, stop.begun_at_ - bounds.stable_, end);
+        const bool calm = !is_disrupted(seen, disrupted_part::vm, stop.vm_, stop.begun_at_ - bounds.stable_, end);
         if (calm && end - stop.begun_at_ > bounds.stop_)
         {
             found.push_back({"stops", vm, "still runs after " + in_ms(end - stop.begun_at_)});
@@ -195,7 +195,7 @@
         std::ranges::for_each(seen.requests_, [&](const sent_request& request) {
             const bool cut = request.ended_at_ && !request.whole_ && !request.left_;
             if (calm && cut && is_open_at_stop(request, stop) && was_taken(request) &&
-                !is_disturbed(seen, disturbed_part::server, stop.vm_, request.sent_at_, *request.ended_at_))
+                !is_disrupted(seen, disrupted_part::server, stop.vm_, request.sent_at_, *request.ended_at_))
             {
                 found.push_back({"stops", request.id_, "cut off by the stop of " + vm});
             }
@@ -210,8 +210,8 @@
     std::vector<finding> found;
     const auto runs = runs_by_request(seen);
     const auto is_calm = [&](const sent_request& request, time_point from, time_point until) {
-        return !is_disturbed(seen, disturbed_part::vm, request.vm_, from - bounds.stable_, until) &&
-               !is_disturbed(seen, disturbed_part::store, request.vm_, from - bounds.stable_, until);
+        return !is_disrupted(seen, disrupted_part::vm, request.vm_, from - bounds.stable_, until) &&
+               !is_disrupted(seen, disrupted_part::store, request.vm_, from - bounds.stable_, until);
     };
     const auto check_request = [&](const acknowledged_change& change, const sent_request& request) {
         const bool ran = runs.contains(request.id_);
@@ -220,7 +220,7 @@
         {
             return;
         }
-        // A revoked key must not work at a disturbed VM either; versions are bound by time only at calm ones.
+        // A revoked key must not work at a disrupted VM either; versions are bound by time only at calm ones.
         const bool calm = is_calm(request, change.at_, request.sent_at_);
         if (change.kind_ == kind::key_revoked && request.key_ == change.name_ && ran)
         {
--- a/soak/process/promises.hpp
+++ b/soak/process/promises.hpp
@@ -18,7 +18,7 @@
     milliseconds leaving_{2000};          ///< a server that leaves gets nothing more after this
     milliseconds loss_slack_{200};        ///< a request may cross the close of its connection for this long
     milliseconds stop_{8000};             ///< a stopped process ends within this time
-    milliseconds stable_{3000};           ///< bounds hold again this long after a disturbance
+    milliseconds stable_{3000};           ///< bounds hold again this long after a disruption
     double repeat_ratio_ = 0.2;           ///< repeats allowed for each request
     double repeat_extra_ = 100.0;         ///< repeats allowed beyond the ratio
     milliseconds repeat_window_{10'000};  ///< over which repeats are counted
--- a/soak/request/record.hpp
+++ b/soak/request/record.hpp
@@ -50,20 +50,20 @@
     bool has_key_ = false;
 };
 
-/// @brief What a disturbance concerns.
-enum class disturbed_part
+/// @brief What a disruption concerns.
+enum class disrupted_part
 {
     vm,     ///< a VM's process or its callers' connections
     store,  ///< the store or a VM's connections to it
     server  ///< backend servers or the connections to them
 };
 
-/// @brief A time in which something was disturbed from outside; some promises with a bound in time do not hold then.
-struct disturbance
+/// @brief A time in which something was disrupted from outside; some promises with a bound in time do not hold then.
+struct disruption
 {
     time_point from_;
     time_point until_;
-    disturbed_part part_ = disturbed_part::vm;
+    disrupted_part part_ = disrupted_part::vm;
     std::optional<std::size_t> vm_;  ///< only this VM; all when absent
 };
 
@@ -97,7 +97,7 @@
 {
     std::vector<sent_request> requests_;
     std::vector<server_note> notes_;
-    std::vector<disturbance> disturbances_;
+    std::vector<disruption> disruptions_;
     std::vector<acknowledged_change> changes_;
     std::vector<planned_stop> stops_;
 };
--- /dev/null
+++ b/tests/decisions/cells_test.cpp
@@ -0,0 +1,111 @@
+#include <map>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "cornelstall/decisions.hpp"
+
+using namespace cornelstall;
+
+namespace
+{
+
+const time_point now{std::chrono::hours{1}};
+
+server_directory directory_of(int servers)
+{
+    server_directory directory;
+    for (int index = 0; index < servers; ++index)
+    {
+        listed_server entry;
+        entry.id_ = server_id{"server-" + std::to_string(index)};
+        entry.service_ = service_id{"s"};
+        list_server(directory, entry, log_offset{1}, now);
+    }
+    return directory;
+}
+
+choice_request request_of(std::size_t vms)
+{
+    choice_request request;
+    request.service_ = service_id{"s"};
+    request.division_ = divide_fleet(vms);
+    request.vm_ = vm_id{"vm-1"};
+    return request;
+}
+
+}  // namespace
+
+TEST_CASE("a small fleet is one cell and a cell of a large one stays small")
+{
+    // Each VM of 300 received the reports of all others, 6.4 MB/s, and the fleet served a tenth of its requests.
+    CHECK(divide_fleet(76).bits_ == 0);
+    CHECK(cell_of(divide_fleet(76), "any") == 0);
+    for (const std::size_t vms : {100U, 300U, 2100U})
+    {
+        std::map<std::uint64_t, std::size_t> sizes;
+        for (std::size_t index = 0; index < vms; ++index)
+        {
+            ++sizes[cell_of(divide_fleet(vms), "vm-" + std::to_string(index))];
+        }
+        CHECK(std::ranges::all_of(sizes, [](const auto& cell) { return cell.second <= 120; }));
+    }
+}
+
+TEST_CASE("VMs that differ in the size of the fleet still agree on the cells that were not divided")
+{
+    const cell_division coarse{1};
+    const cell_division fine{2};
+    for (int index = 0; index < 100; ++index)
+    {
+        const auto id = "vm-" + std::to_string(index);
+        CHECK(cell_of(fine, id) / 2 == cell_of(coarse, id));
+    }
+}
+
+TEST_CASE("the servers of a small service are not divided")
+{
+    CHECK(divide_servers(cell_division{2}, 3).bits_ == 0);
+    CHECK(divide_servers(cell_division{2}, 40).bits_ == 1);
+    CHECK(divide_servers(cell_division{2}, 3000).bits_ == 2);
+}
+
+TEST_CASE("a VM chooses among the servers of its cell while most of them can be used")
+{
+    auto directory = directory_of(200);
+    const auto request = request_of(300);
+    const auto own = untried_servers(directory, request, now);
+    CHECK(own.size() > 20);
+    CHECK(own.size() < 100);
+    std::ranges::for_each(own, [&](const known_server* server) {
+        CHECK(cell_of(request.division_, server->listed_.id_.get()) == cell_of(request.division_, "vm-1"));
+    });
+    std::ranges::for_each(own, [](known_server* server) { note_failure(*server, now); });
+    CHECK(untried_servers(directory, request, now).size() == 200);
+}
+
+TEST_CASE("of very many servers a part is drawn, another one for each request")
+{
+    auto directory = directory_of(2000);
+    auto request = request_of(50);
+    const auto first = untried_servers(directory, request, now);
+    CHECK(first.size() == 256);
+    request.draw_ = 0x9E3779B97F4A7C15ULL;
+    const auto second = untried_servers(directory, request, now);
+    std::set<const known_server*> drawn(first.begin(), first.end());
+    drawn.insert(second.begin(), second.end());
+    CHECK(drawn.size() > 300);
+}
+
+TEST_CASE("VMs of other cells are counted from what others report")
+{
+    load_peers peers;
+    fleet_load load;
+    load_report report;
+    report.vm_ = vm_id{"vm-2"};
+    report.sequence_ = 1;
+    report.vms_known_ = 290;
+    apply_report(peers, load, report, now);
+    CHECK(known_vms(peers) == 290);
+    CHECK(known_vms(load_peers{}) == 1);
+}
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -107,17 +107,17 @@
     CHECK(check_requests_are_asked(seen_of(request_of(call_kind::once, 200), {note})).size() == 1);
 }
 
-TEST_CASE("an answer after the time limit is found unless its VM was disturbed")
+TEST_CASE("an answer after the time limit is found unless its VM was disrupted")
 {
     auto request = request_of(call_kind::once, 504);
     request.ended_at_ = start + bounds.route_limit_ + bounds.answer_slack_ + milliseconds{1};
     auto seen = seen_of(request, {});
     CHECK(check_answers_in_time(seen, bounds, start).size() == 1);
-    seen.disturbances_ = {{start, start, disturbed_part::server, std::nullopt}};
+    seen.disruptions_ = {{start, start, disrupted_part::server, std::nullopt}};
     CHECK(check_answers_in_time(seen, bounds, start).size() == 1);
-    seen.disturbances_ = {{start, start, disturbed_part::vm, 1}};
+    seen.disruptions_ = {{start, start, disrupted_part::vm, 1}};
     CHECK(check_answers_in_time(seen, bounds, start).size() == 1);
-    seen.disturbances_ = {{start, start, disturbed_part::vm, 0}};
+    seen.disruptions_ = {{start, start, disrupted_part::vm, 0}};
     CHECK(check_answers_in_time(seen, bounds, start).empty());
     request.ended_at_.reset();
     CHECK(check_answers_in_time(seen_of(request, {}), bounds, start + std::chrono::seconds{20}).size() == 1);
@@ -150,7 +150,7 @@
     CHECK(check_changes(seen, bounds).size() == 1);
     seen.changes_ = {{kind::server_leaving, "s-1", start - bounds.leaving_}};
     CHECK(check_changes(seen, bounds).size() == 1);
-    seen.disturbances_ = {{start, start, disturbed_part::store, std::nullopt}};
+    seen.disruptions_ = {{start, start, disrupted_part::store, std::nullopt}};
     CHECK(check_changes(seen, bounds).empty());
     seen = seen_of(request_of(call_kind::once, 404), {});
     seen.changes_ = {{kind::route_added, "/p/", start - bounds.configuration_}};
