Tell changes of the server list only to the VMs that lack them, and at most 96

VMs that lack more changes read the store themselves, as before.

Test: 'a VM that lacks very many changes is left to read the log'.

--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -57,14 +57,17 @@
     return report;
 }
 
-void send_to_peers(load_exchange& exchange, const load_report& report, time_point now)
+/// Sends @a report to the VMs of the own cell for which @a is_meant holds.
+void send_to_peers(load_exchange& exchange, const load_report& report, time_point now,
+                   const std::function<bool(const load_peer&)>& is_meant)
 {
     const auto bytes = encode_load_report(report, datagram_limit, now);
     const auto division = divide_fleet(known_vms(exchange.state_.peers_));
     const auto own = cell_of(division, report.vm_.get());
     std::ranges::for_each(exchange.state_.peers_.peers_, [&](const auto& entry) {
         const auto endpoint = parse_endpoint(entry.second.address_.get());
-        if (!endpoint || now - entry.second.heard_at_ > forget_after || cell_of(division, entry.first.get()) != own)
+        if (!endpoint || now - entry.second.heard_at_ > forget_after || cell_of(division, entry.first.get()) != own ||
+            !is_meant(entry.second))
         {
             return;
         }
@@ -91,7 +94,8 @@
     std::ranges::for_each(split_news(news, changes_per_datagram), [&](const store_news& part) {
         auto report = report_of(exchange, part);
         report.only_news_ = true;
-        send_to_peers(exchange, report, now);
+        send_to_peers(exchange, report, now,
+                      [&news](const load_peer& peer) { return peer.list_known_ < news.list_next_; });
     });
 }
 
@@ -102,7 +106,7 @@
     drop_changes_before(news, news.list_next_);
     auto report = report_of(exchange, std::move(news));
     report.work_ = exchange.state_.own_work_;
-    send_to_peers(exchange, report, now);
+    send_to_peers(exchange, report, now, [](const load_peer&) { return true; });
 }
 
 void report_silent_peers(load_exchange& exchange, time_point now)
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -19,6 +19,9 @@
 /// Changes are kept this long for VMs that missed their reports, longer than VMs stand still or are cut off on most
 /// days.
 constexpr std::chrono::seconds keep_for{30};
+/// A VM that lacks more changes reads them from the log. While 3,000 servers registered, readers told them all to VMs
+/// whose links were full of it.
+constexpr std::size_t most_told = 96;
 /// Entries that lapsed while the log was away are written again within two seconds of its return.
 constexpr milliseconds lapse_grace{2500};
 /// A log that some VM could read this short a time ago was not away for the three heartbeats after which entries lapse.
@@ -162,6 +165,10 @@
         news.list_next_ = list.next_;
         std::ranges::transform(list.changes_, std::back_inserter(news.changes_), &recent_change::change_);
         drop_changes_before(news, first_lacking(state.peers_, list.next_, reader_silence, now));
+        if (news.changes_.size() > most_told)
+        {
+            drop_changes_before(news, news.changes_[news.changes_.size() - most_told].at_);
+        }
     }
     return news;
 }
--- a/tests/gateway/store_news_test.cpp
+++ b/tests/gateway/store_news_test.cpp
@@ -104,6 +104,25 @@
     CHECK_FALSE(must_read(listener.state_, listener.state_.list_.confirmed_at_));
 }
 
+TEST_CASE("a VM that lacks very many changes is left to read the log")
+{
+    gateway_fixture gateway;
+    auto& state = gateway.state_;
+    state.list_.read_at_ = boot_time();
+    auto& behind = state.peers_.peers_[vm_id{"vm-2"}];
+    behind.heard_at_ = std::chrono::steady_clock::now();
+    behind.list_known_ = log_offset{1};
+    for (std::uint64_t index = 0; index < 1000; ++index)
+    {
+        apply_change(state, change_of("a" + std::to_string(index), index, server_state::ready));
+    }
+    confirm_list(state, log_offset{1000}, boot_time());
+    const auto news = own_news(state);
+    CHECK(news.changes_.size() <= 100);
+    CHECK(news.list_from_ == news.changes_.front().at_);
+    CHECK(news.list_next_ == log_offset{1000});
+}
+
 TEST_CASE("a whole list that is read again is told as changes")
 {
     gateway_fixture gateway;
