--- a/tests/decisions/engine_schedule_test.cpp
+++ b/tests/decisions/engine_schedule_test.cpp
@@ -39,6 +39,17 @@
 constexpr milliseconds short_goal{250};
 constexpr milliseconds long_goal{8000};
 
+choice_request request_for(const service_description& service, const engine_work& work, const std::string& data_centre,
+                           std::uint64_t draw)
+{
+    choice_request request;
+    request.service_ = service.id_;
+    request.work_ = work;
+    request.data_centre_ = data_centre_id{data_centre};
+    request.draw_ = draw;
+    return request;
+}
+
 }  // namespace
 
 TEST_CASE("the simulation of an engine that was empty begins with its first request")
@@ -185,7 +196,7 @@
     add_work(busy, work(1, 5000, short_goal, now), now);
     note_first_token(busy, running_key{1}, now);
     const auto chosen = [&](std::int64_t prompt, milliseconds goal) {
-        const choice_request request{service.id_, work(99, prompt, goal, now), data_centre_id{"z"}, {}, 7};
+        const auto request = request_for(service, work(99, prompt, goal, now), "z", 7);
         return choose_server(directory, load, service, request, now).server_->listed_.id_;
     };
     CHECK(chosen(2000, short_goal) == server_id{"b"});
@@ -214,7 +225,7 @@
         list_server(directory, entry, log_offset{1}, now);
     }
     add_work(load.engines_[server_id{"a"}], work(1, 182000, long_goal, now), now);
-    choice_request request{service.id_, work(2, 5000, short_goal, now), data_centre_id{"z"}, {}, 7};
+    auto request = request_for(service, work(2, 5000, short_goal, now), "z", 7);
     CHECK(choose_server(directory, load, service, request, now).server_->listed_.id_ == server_id{"b"});
     note_failure(directory.servers_.at(server_id{"b"}), now);
     CHECK(choose_server(directory, load, service, request, now).server_->listed_.id_ == server_id{"a"});
@@ -242,7 +253,7 @@
     }
     // The near engine reads a long prompt, so an idle one elsewhere would be chosen.
     add_work(load.engines_[server_id{"near"}], work(1, 182000, long_goal, now), now);
-    const choice_request request{service.id_, work(2, 5000, short_goal, now), data_centre_id{"own"}, {}, 7};
+    const auto request = request_for(service, work(2, 5000, short_goal, now), "own", 7);
     CHECK(choose_server(directory, load, service, request, now).server_->listed_.id_ != server_id{"near"});
     for (const auto* const name : {"far-1", "far-2"})
     {
--- a/tests/decisions/joint_read_test.cpp
+++ b/tests/decisions/joint_read_test.cpp
@@ -41,6 +41,17 @@
     return made;
 }
 
+choice_request request_for(const service_description& service, const engine_work& work, const std::string& data_centre,
+                           std::uint64_t draw)
+{
+    choice_request request;
+    request.service_ = service.id_;
+    request.work_ = work;
+    request.data_centre_ = data_centre_id{data_centre};
+    request.draw_ = draw;
+    return request;
+}
+
 /// A service with @a engines idle engines.
 struct fleet
 {
@@ -58,7 +69,7 @@
 
     std::optional<joint_read> choose(std::int64_t tokens, std::optional<double> alone, std::uint64_t draw = 7)
     {
-        const choice_request request{service_.id_, long_prompt(tokens), data_centre_id{"z"}, {}, draw};
+        const auto request = request_for(service_, long_prompt(tokens), "z", draw);
         return choose_joint_read(directory_, load_, service_, request, alone, now);
     }
 
@@ -178,7 +189,7 @@
     claim_all_but(0, now - milliseconds{5});
     CHECK_FALSE(engines.choose(300000, std::nullopt));
     claim_all_but(19, now - milliseconds{5});
-    const choice_request other{engines.service_.id_, long_prompt(1000), data_centre_id{"z"}, {}, 3};
+    const auto other = request_for(engines.service_, long_prompt(1000), "z", 3);
     for (int index = 0; index < 19; ++index)
     {
         engines.load_.engines_[server_id{"engine-" + std::to_string(index)}].work_.clear();
@@ -194,7 +205,7 @@
     fleet engines(4);
     auto work = long_prompt(600000);
     work.patience_ = milliseconds{13000};
-    const choice_request request{engines.service_.id_, work, data_centre_id{"z"}, {}, 7};
+    const auto request = request_for(engines.service_, work, "z", 7);
     CHECK_FALSE(choose_joint_read(engines.directory_, engines.load_, engines.service_, request, std::nullopt, now));
 }
 
