--- a/soak/process/deployment.cpp
+++ b/soak/process/deployment.cpp
@@ -279,9 +279,16 @@
 
 task<> publish_configuration(deployment& all)
 {
+    // One version after the other: a repeated append of an older one must not come after a newer one.
+    while (all.publishing_)
+    {
+        co_await sleep_for(retry_pause);
+    }
+    all.publishing_ = true;
     all.version_ += 1 + all.draw(3);
     const auto text = configuration_json(all).dump();
     co_await append(all, "keyed.op", "config", text);
+    all.publishing_ = false;
 }
 
 task<> start_deployment(deployment& all)
--- a/soak/process/deployment.hpp
+++ b/soak/process/deployment.hpp
@@ -60,6 +60,7 @@
     std::vector<vm_process> vms_;
     std::vector<server_process> servers_;
     std::uint64_t version_ = 1;
+    bool publishing_ = false;  ///< a version is being written
     std::vector<std::string> keys_{"key-a", "key-b", "key-c"};
     std::vector<std::string> added_routes_;  ///< path prefixes beside the four basic ones
     std::uint64_t next_request_ = 0;
