--- /dev/null
+++ b/tests/decisions/choice_requests.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "cornelstall/decisions.hpp"
+
+namespace cornelstall::testing
+{
+
+/// @brief A request for the choice of a server that has tried none, in a fleet of one cell.
+inline choice_request request_for(const service_description& service, const engine_work& work,
+                                  const std::string& data_centre, std::uint64_t draw)
+{
+    choice_request request;
+    request.service_ = service.id_;
+    request.work_ = work;
+    request.data_centre_ = data_centre_id{data_centre};
+    request.draw_ = draw;
+    return request;
+}
+
+}  // namespace cornelstall::testing
--- a/tests/decisions/engine_schedule_test.cpp
+++ b/tests/decisions/engine_schedule_test.cpp
@@ -1,8 +1,10 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/decisions.hpp"
+#include "decisions/choice_requests.hpp"
 
 using namespace cornelstall;
+using testing::request_for;
 
 namespace
 {
@@ -39,17 +41,6 @@
 constexpr milliseconds short_goal{250};
 constexpr milliseconds long_goal{8000};
 
-choice_request request_for(const service_description& service, const engine_work& work, const std::string& data_centre,
-                           std::uint64_t draw)
-{
-    choice_request request;
-    request.service_ = service.id_;
-    request.work_ = work;
-    request.data_centre_ = data_centre_id{data_centre};
-    request.draw_ = draw;
-    return request;
-}
-
 }  // namespace
 
 TEST_CASE("the simulation of an engine that was empty begins with its first request")
--- a/tests/decisions/joint_read_test.cpp
+++ b/tests/decisions/joint_read_test.cpp
@@ -5,8 +5,10 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/decisions.hpp"
+#include "decisions/choice_requests.hpp"
 
 using namespace cornelstall;
+using testing::request_for;
 
 namespace
 {
@@ -41,17 +43,6 @@
     return made;
 }
 
-choice_request request_for(const service_description& service, const engine_work& work, const std::string& data_centre,
-                           std::uint64_t draw)
-{
-    choice_request request;
-    request.service_ = service.id_;
-    request.work_ = work;
-    request.data_centre_ = data_centre_id{data_centre};
-    request.draw_ = draw;
-    return request;
-}
-
 /// A service with @a engines idle engines.
 struct fleet
 {
