--- a/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
@@ -27,8 +27,9 @@
     configuration_version version_;
     bool leaving_ = false;
     log_update log_update_;
-    bool log_update_only_ = false;  ///< carries no load; the work reported before stays
-    std::size_t vms_known_ = 0;     ///< VMs known to the sender, directly or from reports, including itself
+    bool log_update_only_ = false;                 ///< carries no load; the work reported before stays
+    std::vector<leaving_server> leaving_servers_;  ///< servers that told the sender that they are leaving
+    std::size_t vms_known_ = 0;  ///< VMs known to the sender, directly or from reports, including itself
 };
 
 /// @brief Another VM, with the contents of its last load report.
--- a/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "cornelstall/value.hpp"
@@ -42,11 +43,32 @@
     int consecutive_failures_ = 0;
 };
 
+/// @brief What a server has said about itself in its answers. Holds for one lifetime of the server: neither its list
+/// entry nor its removal from the list undoes it.
+struct server_notice
+{
+    std::uint64_t started_at_ms_ = 0;  ///< lifetime of the server that the notice is about
+    socket_address address_;
+    bool leaving_ = false;     ///< the server is shutting down and takes no new work
+    bool own_ = false;         ///< this VM received the answer itself; other notices come from load reports
+    time_point noted_at_;      ///< when the server said that it leaves
+    time_point paused_until_;  ///< the server takes no work from this VM until then
+};
+
 /// @brief All backend servers listed by the platform.
 struct server_directory
 {
     std::map<server_id, known_server> servers_;
     std::map<server_id, log_offset> removed_;  ///< log offsets of removals; older entries must not undo them
+    std::map<server_id, server_notice> notices_;
+};
+
+/// @brief A server that this VM or another one knows to be leaving.
+struct leaving_server
+{
+    server_id id_;
+    std::uint64_t started_at_ms_ = 0;  ///< lifetime of the server that is leaving
+    milliseconds age_{0};              ///< time since the server said so
 };
 
 /// @brief Adds or updates @a entry, read at @a offset. A restart under the same id discards all observations.
@@ -60,6 +82,33 @@
 /// @brief The server @a id, or null when it is not listed.
 [[nodiscard]] known_server* find_server(server_directory& directory, const server_id& id);
 
+/// @brief Records that @a server announced in an answer to this VM that it is leaving.
+/// @return true when this was not known before
+bool record_leaving(server_directory& directory, const listed_server& server, time_point now);
+
+/// @brief Records that another VM reported @a server as leaving. Ignored when another lifetime of it is listed.
+/// @return true when this was not known before
+bool record_reported_leaving(server_directory& directory, const leaving_server& server, time_point now);
+
+/// @brief Records that @a server refused work and wants none from this VM for @a duration.
+void record_pause(server_directory& directory, const listed_server& server, milliseconds duration, time_point now);
+
+/// @brief The servers of which this VM learned from their own answers, within the last @a limit, that they are leaving.
+[[nodiscard]] std::vector<leaving_server> recently_leaving(const server_directory& directory, milliseconds limit,
+                                                           time_point now);
+
+/// @brief True when @a server is listed as ready, has not announced that it is leaving and has not asked for a pause.
+[[nodiscard]] bool accepts_work(const server_directory& directory, const known_server& server, time_point now);
+
+/// @brief True when the server @a id is listed in the lifetime @a started_at_ms and accepts work.
+[[nodiscard]] bool accepts_work(const server_directory& directory, const server_id& id, std::uint64_t started_at_ms,
+                                time_point now);
+
+/// @brief Time until the first server of @a service that asked for a pause accepts work again.
+/// @return nothing when no server of the service has asked for one
+[[nodiscard]] std::optional<milliseconds> time_until_pause_ends(const server_directory& directory,
+                                                                const service_id& service, time_point now);
+
 /// @brief Records a failed request whose cause may be @a server.
 void record_failure(known_server& server, time_point now);
 
@@ -73,8 +122,9 @@
 /// @brief Records a successful response of @a server.
 void record_success(known_server& server);
 
-/// @brief The ready servers of @a service.
-[[nodiscard]] std::vector<known_server*> ready_servers(server_directory& directory, const service_id& service);
+/// @brief The servers of @a service that accept work at @a now.
+[[nodiscard]] std::vector<known_server*> ready_servers(server_directory& directory, const service_id& service,
+                                                       time_point now);
 
 /// @brief True when a server of any service is ready.
 [[nodiscard]] bool any_ready(const server_directory& directory);
--- a/packages/decisions/include/cornelstall/decisions/request/joint_prefill.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/joint_prefill.hpp
@@ -24,6 +24,9 @@
     milliseconds starts_in_{0};    ///< time until all engines are idle; placeholders hold them until then
 };
 
+/// @brief The longest prompt that @a engines engines of @a profile can hold together.
+[[nodiscard]] token_count max_joint_prompt(const engine_profile& profile, std::size_t engines);
+
 /// @brief Chooses engines that prefill the prompt of @a request together: as many as its target and its memory require,
 /// in the order in which they become idle. Engines that an earlier request holds are excluded.
 /// @param single_engine_benefit expected value on a single engine less the loss of other requests; nothing when the
--- a/packages/decisions/src/process/server_directory.cpp
+++ b/packages/decisions/src/process/server_directory.cpp
@@ -21,6 +21,47 @@
 /// Smaller ratios are caused by requests that this VM does not know yet, not by the server.
 constexpr double min_slowdown = 2.0;
 constexpr double max_slowdown = 16.0;
+/// A longer pause is cut to this, so that one wrong answer does not close a server for good.
+constexpr std::chrono::hours max_pause{1};
+
+/// The notice about the lifetime of @a server. A notice about an earlier lifetime is discarded.
+server_notice& notice_about(server_directory& directory, const listed_server& server)
+{
+    auto& notice = directory.notices_[server.id_];
+    if (notice.started_at_ms_ != server.started_at_ms_ || notice.address_ != server.address_)
+    {
+        notice = server_notice{};
+        notice.started_at_ms_ = server.started_at_ms_;
+        notice.address_ = server.address_;
+    }
+    return notice;
+}
+
+/// The notice about the listed lifetime of @a server, or null.
+const server_notice* find_notice(const server_directory& directory, const listed_server& server)
+{
+    const auto found = directory.notices_.find(server.id_);
+    const bool applies = found != directory.notices_.end() && found->second.started_at_ms_ == server.started_at_ms_ &&
+                         found->second.address_ == server.address_;
+    return applies ? &found->second : nullptr;
+}
+
+/// True when @a server is the lifetime that is listed under its id, or when none is listed.
+bool is_listed_lifetime(const server_directory& directory, const listed_server& server)
+{
+    const auto found = directory.servers_.find(server.id_);
+    return found == directory.servers_.end() || (found->second.listed_.started_at_ms_ == server.started_at_ms_ &&
+                                                 found->second.listed_.address_ == server.address_);
+}
+
+bool set_leaving(server_notice& notice, bool own, time_point now)
+{
+    const bool is_new = !notice.leaving_;
+    notice.noted_at_ = is_new ? now : notice.noted_at_;
+    notice.leaving_ = true;
+    notice.own_ = notice.own_ || own;
+    return is_new;
+}
 
 }  // namespace
 
@@ -71,6 +112,78 @@
     return found == directory.servers_.end() ? nullptr : &found->second;
 }
 
+bool record_leaving(server_directory& directory, const listed_server& server, time_point now)
+{
+    return is_listed_lifetime(directory, server) && set_leaving(notice_about(directory, server), true, now);
+}
+
+bool record_reported_leaving(server_directory& directory, const leaving_server& server, time_point now)
+{
+    const auto found = directory.servers_.find(server.id_);
+    if (found == directory.servers_.end() || found->second.listed_.started_at_ms_ != server.started_at_ms_)
+    {
+        return false;
+    }
+    return set_leaving(notice_about(directory, found->second.listed_), false, now - server.age_);
+}
+
+void record_pause(server_directory& directory, const listed_server& server, milliseconds duration, time_point now)
+{
+    if (!is_listed_lifetime(directory, server))
+    {
+        return;
+    }
+    auto& notice = notice_about(directory, server);
+    notice.paused_until_ = std::max(notice.paused_until_, now + std::min<milliseconds>(duration, max_pause));
+}
+
+std::vector<leaving_server> recently_leaving(const server_directory& directory, milliseconds limit, time_point now)
+{
+    std::vector<leaving_server> leaving;
+    std::ranges::for_each(directory.notices_, [&](const auto& entry) {
+        const auto& notice = entry.second;
+        if (notice.leaving_ && notice.own_ && now - notice.noted_at_ < limit)
+        {
+            leaving.push_back(
+                {entry.first, notice.started_at_ms_, std::chrono::duration_cast<milliseconds>(now - notice.noted_at_)});
+        }
+    });
+    return leaving;
+}
+
+bool accepts_work(const server_directory& directory, const known_server& server, time_point now)
+{
+    if (server.listed_.state_ != server_state::ready)
+    {
+        return false;
+    }
+    const auto* const notice = find_notice(directory, server.listed_);
+    return notice == nullptr || (!notice->leaving_ && notice->paused_until_ <= now);
+}
+
+bool accepts_work(const server_directory& directory, const server_id& id, std::uint64_t started_at_ms, time_point now)
+{
+    const auto found = directory.servers_.find(id);
+    return found != directory.servers_.end() && found->second.listed_.started_at_ms_ == started_at_ms &&
+           accepts_work(directory, found->second, now);
+}
+
+std::optional<milliseconds> time_until_pause_ends(const server_directory& directory, const service_id& service,
+                                                  time_point now)
+{
+    std::optional<milliseconds> shortest;
+    std::ranges::for_each(directory.servers_ | std::views::values, [&](const known_server& server) {
+        const auto* const notice = find_notice(directory, server.listed_);
+        if (server.listed_.service_ != service || notice == nullptr || notice->leaving_ || notice->paused_until_ <= now)
+        {
+            return;
+        }
+        const auto left = std::chrono::ceil<milliseconds>(notice->paused_until_ - now);
+        shortest = std::min(shortest.value_or(left), left);
+    });
+    return shortest;
+}
+
 void record_failure(known_server& server, time_point now)
 {
     server.backoff_ = std::clamp(server.backoff_ * 2, initial_backoff, max_backoff);
@@ -100,11 +213,11 @@
     server.avoid_until_ = time_point{};
 }
 
-std::vector<known_server*> ready_servers(server_directory& directory, const service_id& service)
+std::vector<known_server*> ready_servers(server_directory& directory, const service_id& service, time_point now)
 {
     std::vector<known_server*> ready;
     std::ranges::for_each(directory.servers_ | std::views::values, [&](known_server& server) {
-        if (server.listed_.service_ == service && server.listed_.state_ == server_state::ready)
+        if (server.listed_.service_ == service && accepts_work(directory, server, now))
         {
             ready.push_back(&server);
         }
--- a/packages/decisions/src/request/joint_prefill.cpp
+++ b/packages/decisions/src/request/joint_prefill.cpp
@@ -202,6 +202,16 @@
 
 }  // namespace
 
+token_count max_joint_prompt(const engine_profile& profile, std::size_t engines)
+{
+    if (engines <= 1)
+    {
+        return profile.kv_capacity_;
+    }
+    const auto parts = std::min<std::size_t>(engines, max_helpers + 1);
+    return std::max(profile.kv_capacity_, token_count{plannable_memory(profile) * static_cast<std::int64_t>(parts)});
+}
+
 std::optional<joint_prefill> choose_joint_prefill(server_directory& directory, fleet_load& load,
                                                   const service_description& service, const choice_request& request,
                                                   std::optional<double> single_engine_benefit, time_point now)
--- a/packages/decisions/src/request/server_choice.cpp
+++ b/packages/decisions/src/request/server_choice.cpp
@@ -147,7 +147,7 @@
 
 std::vector<known_server*> candidate_servers(server_directory& directory, const choice_request& request, time_point now)
 {
-    auto servers = ready_servers(directory, request.service_);
+    auto servers = ready_servers(directory, request.service_, now);
     std::erase_if(servers, [&request](const known_server* server) {
         return std::ranges::find(request.tried_, server->listed_.id_) != request.tried_.end();
     });
--- a/packages/gateway/include/cornelstall/gateway/connection/caller_socket.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/caller_socket.hpp
@@ -53,6 +53,10 @@
 /// @brief Accepts connections on @a acceptor until it is closed and serves each in its own task.
 [[nodiscard]] task<> accept_callers(gateway_state& state, boost::asio::ip::tcp::acceptor& acceptor);
 
+/// @brief Accepts the connections that wait in the queue of @a acceptor, without waiting for more. Closing an acceptor
+/// resets those that are still in its queue.
+void accept_waiting_callers(gateway_state& state, boost::asio::ip::tcp::acceptor& acceptor);
+
 /// @brief Closes the callers' connections on which no request is in progress.
 void close_idle_callers(gateway_state& state);
 
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_settings.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_settings.hpp
@@ -24,7 +24,8 @@
     std::optional<milliseconds> max_configuration_age_;
     /// A reservation of engine memory ends this long after it was last made or renewed.
     milliseconds memory_reservation_timeout_{3400};
-    milliseconds stop_limit_{8000};  ///< the process is killed this long after SIGTERM
+    byte_count answer_buffer_limit_{16ULL * 1024 * 1024};  ///< memory for buffered answers of all requests
+    milliseconds stop_limit_{8000};                        ///< the process is killed this long after SIGTERM
 };
 
 }  // namespace cornelstall
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "cornelstall/gateway/connection/caller_socket.hpp"
+#include "cornelstall/gateway/process/buffer_budget.hpp"
 #include "cornelstall/gateway/process/gateway_settings.hpp"
 #include "cornelstall/gateway/process/server_list.hpp"
 #include "cornelstall/gateway/request/protocol.hpp"
@@ -49,7 +50,9 @@
     /// while this process was stalled, so that the ages in them are too low.
     std::chrono::nanoseconds ignore_updates_until_{0};
 
+    buffer_budget answer_buffers_;
     bool stopping_ = false;          ///< SIGTERM or SIGINT was received
+    std::size_t open_callers_ = 0;   ///< callers' connections; a stop waits for those with a request under way
     std::size_t open_requests_ = 0;  ///< a stop waits for them to finish
     std::size_t open_leases_ = 0;    ///< unreleased reservations of engine memory; a stop waits for their release
     std::set<std::shared_ptr<caller_socket>> idle_callers_;
--- /dev/null
+++ b/packages/gateway/include/cornelstall/gateway/process/server_notices.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "cornelstall/gateway/process/gateway_state.hpp"
+
+namespace cornelstall
+{
+
+/// @brief Records what @a answer says about the server that sent it: that it is leaving, or that it wants no work from
+/// this VM for a time. An answer of another server at the same address says nothing about @a server.
+void apply_notices(gateway_state& state, const listed_server& server, const server_answer& answer);
+
+/// @brief Records the servers that the VM @a sender reports as leaving.
+void apply_reported_leaving(gateway_state& state, const vm_id& sender, const std::vector<leaving_server>& leaving);
+
+}  // namespace cornelstall
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -10,6 +10,7 @@
 
 #include "cornelstall/gateway/connection/backend_socket.hpp"
 #include "cornelstall/gateway/process/gateway_state.hpp"
+#include "cornelstall/gateway/request/memory_lease.hpp"
 
 namespace cornelstall
 {
@@ -42,10 +43,12 @@
     int priority_ = 0;
     time_point arrived_;
     time_point deadline_;
+    std::chrono::nanoseconds boot_deadline_{0};  ///< the deadline as boot time, which goes on while the VM is suspended
     std::shared_ptr<caller_watch> watch_;
 
     execution_id execution_id_;            ///< identifies the current send in load reports
     std::vector<prefill_helper> helpers_;  ///< engines that prefill a part of the prompt in the current send
+    std::vector<std::shared_ptr<memory_lease>> leases_;  ///< memory that the helpers of the current send hold
     std::vector<server_id> tried_;
     int sends_ = 0;                                    ///< attempts to send the request to a server
     int connected_sends_ = 0;                          ///< sends whose server accepted the connection
@@ -133,7 +136,10 @@
 /// @brief Closes @a server at @a switch_at if another server can take the request then, else at the request's deadline.
 void set_send_deadline(exchange& current, backend_socket& server, time_point switch_at);
 
-/// @brief Time until the request's deadline.
+/// @brief Sets the deadline of the request to @a limit after its arrival.
+void set_deadline(exchange& current, milliseconds limit);
+
+/// @brief Time until the request's deadline, including time in which the VM was suspended.
 [[nodiscard]] milliseconds remaining_time(const exchange& current);
 
 }  // namespace cornelstall
--- a/packages/gateway/include/cornelstall/gateway/request/memory_lease.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/memory_lease.hpp
@@ -26,8 +26,9 @@
     std::string reservation_;
     token_count tokens_;
     boost::asio::steady_timer wake_timer_;
-    bool release_requested_ = false;  ///< the memory is not needed any more
-    time_point order_pending_until_;  ///< the engine may still carry out an unanswered order until then
+    bool release_requested_ = false;          ///< the memory is not needed any more
+    time_point order_pending_until_;          ///< the engine may still carry out an unanswered order until then
+    std::chrono::nanoseconds held_until_{0};  ///< boot time at which the reservation expires unless it is renewed
 };
 
 /// @brief Reserves the memory and renews the reservation until end_lease(). The release is then repeated until the
@@ -35,6 +36,9 @@
 /// @return `done` when the memory is reserved
 [[nodiscard]] task<memory_order_result> begin_lease(std::shared_ptr<memory_lease> lease);
 
+/// @brief True while the engine is known to hold the memory. A process that was paused may find that it has expired.
+[[nodiscard]] bool is_held(const memory_lease& lease);
+
 /// @brief Ends the renewal of the reservation and starts its release.
 void end_lease(memory_lease& lease);
 
--- a/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
@@ -68,12 +68,14 @@
 struct server_answer
 {
     unsigned status_ = 0;
-    request_id request_id_;           ///< the request that the answer states; empty when it states none
-    bool did_not_run_ = false;        ///< the server states that it did not run the request
-    bool wrong_server_ = false;       ///< the address now belongs to another server
-    bool authentic_ = false;          ///< carries the deployment's seal; an answer without it is rejected
-    bool body_encoded_ = false;       ///< a content encoding is applied to the body
-    std::string responsible_server_;  ///< id or address of the other server that caused the refusal, if stated
+    request_id request_id_;                    ///< the request that the answer states; empty when it states none
+    bool did_not_run_ = false;                 ///< the server states that it did not run the request
+    bool wrong_server_ = false;                ///< the address now belongs to another server
+    bool authentic_ = false;                   ///< carries the deployment's seal; an answer without it is rejected
+    bool body_encoded_ = false;                ///< a content encoding is applied to the body
+    bool leaving_ = false;                     ///< the server announces that it is shutting down
+    std::optional<milliseconds> retry_after_;  ///< a refusing server wants no work from this VM for this time
+    std::string responsible_server_;           ///< id or address of the other server that caused the refusal, if stated
 };
 
 /// @brief Reads and writes the messages of one deployment.
--- a/packages/gateway/src/connection/caller_session.cpp
+++ b/packages/gateway/src/connection/caller_session.cpp
@@ -28,6 +28,8 @@
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 constexpr milliseconds accept_retry_delay{50};
 constexpr std::size_t linger_read_size = 4096;
+/// A caller whose message was refused and that does not read the refusal within this time is cut off.
+constexpr milliseconds refusal_write_timeout{1000};
 /// Buffer space beyond the header limit, for body bytes and pipelined requests that arrive with the header.
 constexpr std::size_t max_pipelined_bytes = 65536;
 
@@ -88,7 +90,9 @@
     http_response response(static_cast<http::status>(status), 11);
     response.keep_alive(false);
     response.prepare_payload();
+    set_close_deadline(*caller, std::chrono::steady_clock::now() + refusal_write_timeout);
     co_await http::async_write(caller->socket_, response, redirect_error(use_awaitable, failed));
+    clear_close_deadline(*caller);
 }
 
 /// Shuts down the sending side, discards what the caller still sends and closes the connection.
@@ -138,6 +142,7 @@
 
 task<> serve_caller(gateway_state& state, std::shared_ptr<caller_socket> caller)
 {
+    const scoped_count open_caller(state.open_callers_);
     set_tcp_options(caller->socket_);
     caller->buffer_.max_size(limits_of(state).header_bytes_.get() + max_pipelined_bytes);
     bool keep_open = true;
@@ -181,6 +186,22 @@
     }
 }
 
+void accept_waiting_callers(gateway_state& state, tcp::acceptor& acceptor)
+{
+    boost::system::error_code failed;
+    acceptor.non_blocking(true, failed);
+    while (!failed)
+    {
+        tcp::socket socket(state.executor_);
+        acceptor.accept(socket, failed);
+        if (!failed)
+        {
+            spawn(state.executor_, "serve_caller",
+                  serve_caller(state, std::make_shared<caller_socket>(std::move(socket))));
+        }
+    }
+}
+
 void close_idle_callers(gateway_state& state)
 {
     const auto idle = state.idle_callers_;
--- a/packages/gateway/src/connection/deadline_socket.cpp
+++ b/packages/gateway/src/connection/deadline_socket.cpp
@@ -21,6 +21,9 @@
 /// The connection fails when sent data is not acknowledged for this long. It survives shorter network partitions.
 constexpr int user_timeout_ms = 8000;
 constexpr int listen_backlog = 512;
+/// Bounds the head of an answer, the size line and extensions of a chunk, and the trailer. A server that sends more is
+/// not speaking HTTP, and the read fails.
+constexpr std::size_t max_unparsed_bytes = 65'536;
 constexpr int listen_address_error_id = 420;
 
 using keepalive_idle_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -135,6 +138,7 @@
         co_return nullptr;
     }
     auto connection = std::make_shared<backend_socket>(tcp::socket(where));
+    connection->buffer_.max_size(max_unparsed_bytes);
     set_close_deadline(*connection, deadline);
     boost::system::error_code failed;
     co_await connection->socket_.async_connect(*endpoint,
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 
 #include "cornelstall/gateway/connection/backend_socket.hpp"
+#include "cornelstall/gateway/process/server_notices.hpp"
 #include "cornelstall/wire.hpp"
 
 namespace cornelstall
@@ -40,6 +41,10 @@
 /// Changes of the server list are sent again to VMs that still lack them after this time. By then most VMs have
 /// reported up to which offset they know the list.
 constexpr milliseconds changes_resend_interval{150};
+/// A leaving server is reported for this long; by then the server list has its entry as draining or removed.
+constexpr std::chrono::seconds leaving_report_period{10};
+/// A leaving server takes about 30 bytes of a datagram.
+constexpr std::size_t max_leaving_servers = 8;
 constexpr std::size_t max_received_datagram_bytes = 65536;
 /// Requested size of the socket's receive buffer.
 constexpr int receive_buffer_bytes = 262144;
@@ -56,6 +61,12 @@
     report.leaving_ = state.stopping_;
     report.vms_known_ = known_vms(state.peers_);
     report.log_update_ = std::move(update);
+    report.leaving_servers_ =
+        recently_leaving(state.directory_, leaving_report_period, std::chrono::steady_clock::now());
+    if (report.leaving_servers_.size() > max_leaving_servers)
+    {
+        report.leaving_servers_.resize(max_leaving_servers);
+    }
     return report;
 }
 
@@ -158,6 +169,7 @@
     {
         apply_log_update(state, report->log_update_, report->version_);
     }
+    apply_reported_leaving(state, report->vm_, report->leaving_servers_);
     update_fleet_size(state.retry_budget_, known_vms(state.peers_));
     if (!is_known)
     {
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <set>
 
 namespace cornelstall
 {
@@ -23,15 +24,31 @@
     gateway_state& state_;
     record_log log_;
     server_decoder decode_;
+    std::set<std::string> unreadable_;  ///< keys whose newest entry describes no usable server
 };
 
+/// Keys that are remembered as unreadable at most; entries of further keys are not logged.
+constexpr std::size_t max_unreadable_keys = 1000;
+
+/// Logs an entry that describes no usable server, once until its key has a usable entry again.
+void log_unreadable(follower& self, const keyed_record& record)
+{
+    if (self.unreadable_.size() < max_unreadable_keys && self.unreadable_.insert(record.key_).second)
+    {
+        log_event(severity::warning, entry_unreadable,
+                  "ignoring a server list entry that describes no usable server; check what the server registered",
+                  {{"server", record.key_}, {"offset", std::to_string(record.offset_.get())}});
+    }
+}
+
 /// Converts a record to a change of the server list; empty when its entry describes no usable server.
-std::optional<server_list_change> to_list_change(const follower& self, const keyed_record& record)
+std::optional<server_list_change> to_list_change(follower& self, const keyed_record& record)
 {
     server_list_change change;
     change.at_ = record.offset_;
     if (record.removed_)
     {
+        self.unreadable_.erase(record.key_);
         change.server_.id_ = server_id{record.key_};
         change.removed_ = true;
         return change;
@@ -39,11 +56,10 @@
     const auto entry = self.decode_(record);
     if (!entry)
     {
-        log_event(severity::warning, entry_unreadable,
-                  "ignoring a server list entry that describes no usable server; check what the server registered",
-                  {{"server", record.key_}, {"offset", std::to_string(record.offset_.get())}});
+        log_unreadable(self, record);
         return std::nullopt;
     }
+    self.unreadable_.erase(record.key_);
     change.server_ = *entry;
     return change;
 }
@@ -135,7 +151,7 @@
 
 task<> follow_servers(gateway_state& state, record_log log, server_decoder decode)
 {
-    follower self{state, std::move(log), std::move(decode)};
+    follower self{state, std::move(log), std::move(decode), {}};
     auto& list = state.server_list_;
     while (true)
     {
--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -22,6 +22,7 @@
 constexpr event_kind gateway_reload{4051, "gateway_reload"};
 constexpr event_kind gateway_stopping{4052, "gateway_stopping"};
 constexpr event_kind gateway_stopped{4053, "gateway_stopped"};
+constexpr event_kind handler_failed{4055, "handler_failed"};
 
 /// The load balancer checks readiness once a second and removes a VM after two failed checks. New connections arrive
 /// until then.
@@ -29,6 +30,8 @@
 /// Part of the stop limit that is reserved for ending the process in an orderly way.
 constexpr milliseconds stop_reserve{400};
 constexpr milliseconds stop_check_interval{50};
+/// After the listening socket is closed, the first request of a new connection is awaited for this long.
+constexpr milliseconds first_request_wait{500};
 
 struct listeners
 {
@@ -59,11 +62,17 @@
     return {200, state.metrics_.exposition()};
 }
 
-/// Waits, at most until @a deadline, until the open requests are finished and their memory reservations are released.
+/// Waits, at most until @a deadline, until the callers' connections have ended and the memory reservations are
+/// released. Connections on which no request arrives within a short time are closed.
 task<> finish_requests(gateway_state& state, time_point deadline)
 {
-    while (state.open_requests_ + state.open_leases_ > 0 && clock::now() < deadline)
+    const auto close_idle_at = clock::now() + first_request_wait;
+    while (state.open_callers_ + state.open_leases_ > 0 && clock::now() < deadline)
     {
+        if (clock::now() >= close_idle_at)
+        {
+            close_idle_callers(state);
+        }
         co_await sleep_for(stop_check_interval);
     }
 }
@@ -73,10 +82,13 @@
     const auto started_at = clock::now();
     state.stopping_ = true;
     log_event(severity::info, gateway_stopping, "stop signal received; no longer ready, finishing the open requests",
-              {{"open_requests", std::to_string(state.open_requests_)}});
-    close_idle_callers(state);
+              {{"open_requests", std::to_string(state.open_requests_)},
+               {"open_callers", std::to_string(state.open_callers_)}});
     state.schedule_load_report_();
+    // Connections that are open stay so until then, because a request may be on its way on any of them. The answer to
+    // it tells the caller to close.
     co_await sleep_for(balancer_reaction_time);
+    accept_waiting_callers(state, acceptors.callers_);
     boost::system::error_code ignored;  // the process ends even if the acceptor cannot be closed
     acceptors.callers_.close(ignored);
     co_await finish_requests(state, started_at + state.settings_.stop_limit_ - stop_reserve);
@@ -100,6 +112,23 @@
     co_await stop_gateway(state, acceptors);
 }
 
+/// Runs the handlers of @a context until it is stopped. An exception that escapes a handler is logged, and the others
+/// go on.
+void run_handlers(boost::asio::io_context& context)
+{
+    while (!context.stopped())
+    {
+        try
+        {
+            context.run();
+        }
+        catch (const std::exception& problem)
+        {
+            log_event(severity::error, handler_failed, problem.what());
+        }
+    }
+}
+
 std::string own_address(const gateway_settings& settings, unsigned short port)
 {
     return settings.ip_ + ":" + std::to_string(port);
@@ -118,15 +147,18 @@
     const auto load_endpoint = parse_endpoint(own_address(settings, settings.load_port_)).value();
     const auto exchange = std::make_shared<load_exchange>(
         state, boost::asio::ip::udp::endpoint(load_endpoint.address(), load_endpoint.port()));
-    spawn(state.executor_, "receive_load", receive_load(exchange));
-    spawn(state.executor_, "report_load", report_load(exchange));
-    spawn(state.executor_, "accept_callers", accept_callers(state, acceptors.callers_));
-    spawn(state.executor_, "serve_ready",
-          serve_status(state.executor_, acceptors.readiness_,
-                       [&state](const std::string&) { return readiness_response(state); }));
-    spawn(state.executor_, "serve_metrics",
-          serve_status(state.executor_, acceptors.metrics_,
-                       [&state](const std::string&) { return metrics_response(state); }));
+    spawn_restarting(state.executor_, "receive_load", [exchange] { return receive_load(exchange); });
+    spawn_restarting(state.executor_, "report_load", [exchange] { return report_load(exchange); });
+    spawn_restarting(state.executor_, "accept_callers",
+                     [&state, &acceptors] { return accept_callers(state, acceptors.callers_); });
+    spawn_restarting(state.executor_, "serve_ready", [&state, &acceptors] {
+        return serve_status(state.executor_, acceptors.readiness_,
+                            [&state](const std::string&) { return readiness_response(state); });
+    });
+    spawn_restarting(state.executor_, "serve_metrics", [&state, &acceptors] {
+        return serve_status(state.executor_, acceptors.metrics_,
+                            [&state](const std::string&) { return metrics_response(state); });
+    });
     callbacks.on_start_(state);
     log_event(severity::info, gateway_started, "accepting callers",
               {{"vm", settings.name_}, {"listen", settings.listen_.get()}});
@@ -136,7 +168,7 @@
                               failure = problem;
                               context.stop();
                           });
-    context.run();
+    run_handlers(context);
     if (failure)
     {
         std::rethrow_exception(failure);
--- /dev/null
+++ b/packages/gateway/src/process/server_notices.cpp
@@ -0,0 +1,54 @@
+#include "cornelstall/gateway/process/server_notices.hpp"
+
+#include <algorithm>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+constexpr event_kind server_leaving{4048, "server_leaving"};
+constexpr event_kind server_paused{4049, "server_paused"};
+
+}  // namespace
+
+void apply_notices(gateway_state& state, const listed_server& server, const server_answer& answer)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (answer.wrong_server_)
+    {
+        return;
+    }
+    if (answer.leaving_ && record_leaving(state.directory_, server, now))
+    {
+        state.metrics_.count("gateway_servers_leaving_total", {{"source", "answer"}});
+        state.schedule_load_report_();
+        log_event(severity::info, server_leaving, "the server announced in an answer that it is leaving",
+                  {{"server", server.id_.get()}, {"source", "answer"}, {"age_ms", "0"}});
+    }
+    if (answer.retry_after_)
+    {
+        record_pause(state.directory_, server, *answer.retry_after_, now);
+        state.metrics_.count("gateway_server_pauses_total");
+        log_event(severity::info, server_paused, "the server refused work and wants none from this VM for a time",
+                  {{"server", server.id_.get()}, {"pause_ms", std::to_string(answer.retry_after_->count())}});
+    }
+}
+
+void apply_reported_leaving(gateway_state& state, const vm_id& sender, const std::vector<leaving_server>& leaving)
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::ranges::for_each(leaving, [&](const leaving_server& server) {
+        if (record_reported_leaving(state.directory_, server, now))
+        {
+            state.metrics_.count("gateway_servers_leaving_total", {{"source", "report"}});
+            log_event(severity::info, server_leaving, "another VM reports that the server is leaving",
+                      {{"server", server.id_.get()},
+                       {"source", sender.get()},
+                       {"age_ms", std::to_string(server.age_.count())}});
+        }
+    });
+}
+
+}  // namespace cornelstall
--- a/packages/gateway/src/request/memory_lease.cpp
+++ b/packages/gateway/src/request/memory_lease.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/redirect_error.hpp>
 
 #include "cornelstall/gateway/connection/http_client.hpp"
+#include "cornelstall/gateway/process/server_notices.hpp"
 
 namespace cornelstall
 {
@@ -35,16 +36,22 @@
     order.tokens_ = lease.tokens_;
     order.hold_ = lease.state_.settings_.memory_reservation_timeout_;
     order.release_ = release;
-    const auto client =
-        std::make_shared<http_client>(http_client{lease.state_.executor_, lease.server_.address_.get(), nullptr});
-    auto message = lease.state_.protocol_.write_memory_order_(order);
-    message.keep_alive(false);
-    const auto answer = co_await call(client, std::move(message), order_timeout);
+    const http_client client{lease.state_.executor_, lease.server_.address_.get()};
+    const auto requested_at = boot_time();
+    const auto answer = co_await call(client, lease.state_.protocol_.write_memory_order_(order), order_timeout);
+    if (answer.status_ != 0)
+    {
+        apply_notices(lease.state_, lease.server_, lease.state_.protocol_.read_answer_(answer.head_));
+    }
     const auto result = lease.state_.protocol_.read_order_result_(answer.status_);
     if (result == memory_order_result::unknown && !release)
     {
         lease.order_pending_until_ = std::chrono::steady_clock::now() + max_execution_delay;
     }
+    if (result == memory_order_result::done && !release)
+    {
+        lease.held_until_ = requested_at + order.hold_;
+    }
     lease.state_.metrics_.count("gateway_memory_orders_total", {{"order", release ? "release" : "reserve"},
                                                                 {"status", std::to_string(answer.status_)}});
     co_return result;
@@ -144,6 +151,11 @@
     co_return result;
 }
 
+bool is_held(const memory_lease& lease)
+{
+    return boot_time() < lease.held_until_;
+}
+
 void end_lease(memory_lease& lease)
 {
     lease.release_requested_ = true;
--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -30,7 +30,8 @@
 constexpr std::string_view id_field = "id:";
 /// A caller that does not accept a chunk within this time has stopped reading.
 constexpr milliseconds caller_write_timeout{4000};
-/// Largest event that is buffered until its end arrives; a stream with a larger event is treated as cut.
+/// Largest event that is buffered until its end arrives; a stream with a larger event is treated as cut. An event holds
+/// the tokens of one pass, some hundreds of bytes.
 constexpr std::size_t max_event_bytes = 1U << 20U;
 
 /// The value of the last `id` field in @a events, which contains only complete events.
@@ -75,7 +76,9 @@
     current.answer_status_ = head.result_int();
     http::response_serializer<http::empty_body> serializer(head);
     boost::system::error_code ec;
+    set_close_deadline(*current.caller_, std::chrono::steady_clock::now() + caller_write_timeout);
     co_await http::async_write_header(current.caller_->socket_, serializer, redirect_error(use_awaitable, ec));
+    clear_close_deadline(*current.caller_);
     co_return !ec;
 }
 
@@ -103,8 +106,10 @@
         co_return false;
     }
     boost::system::error_code ec;
+    set_close_deadline(*current.caller_, std::chrono::steady_clock::now() + caller_write_timeout);
     co_await boost::asio::async_write(current.caller_->socket_, http::make_chunk_last(),
                                       redirect_error(use_awaitable, ec));
+    clear_close_deadline(*current.caller_);
     co_return !ec;
 }
 
@@ -219,14 +224,11 @@
                                milliseconds max_silence)
 {
     std::string pending;
+    buffer_share share(current.state_.answer_buffers_);
     std::array<char, read_buffer_bytes> read_buffer{};
     bool any_delivered = false;
     while (!parser.is_done())
     {
-        if (any_delivered)
-        {
-            set_send_deadline(current, *server, std::chrono::steady_clock::now() + max_silence);
-        }
         parser.get().body().data = read_buffer.data();
         parser.get().body().size = read_buffer.size();
         boost::system::error_code ec;
@@ -244,9 +246,11 @@
             }
             record_delivered_events(current, events, !any_delivered);
             any_delivered = true;
+            // Only a complete event counts as progress: a stalled server may still send a byte now and then.
+            set_send_deadline(current, *server, std::chrono::steady_clock::now() + max_silence);
             pending.erase(0, last_event_end + event_end.size());
         }
-        if (connection_lost || pending.size() > max_event_bytes)
+        if (connection_lost || pending.size() > max_event_bytes || !share.grow_to(pending.size()))
         {
             co_return record_cut_stream(current, *server);
         }
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "cornelstall/gateway/process/server_notices.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
 
 namespace cornelstall
@@ -37,6 +38,7 @@
 /// Upper limit of the time after which a silent server is abandoned.
 constexpr milliseconds max_silence{4000};
 /// Answers that are not relayed as event streams are buffered in memory until they are complete.
+/// Longer ones are rejected.
 constexpr std::size_t max_plain_answer_bytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t read_buffer_bytes = 8192;
 
@@ -119,12 +121,14 @@
 }
 
 /// Reads the whole body of an answer.
-/// @return nothing when the body is truncated or exceeds the size limit
-task<std::optional<std::string>> read_body(std::shared_ptr<backend_socket> server, answer_parser& parser)
+/// @return nothing when the body is truncated, exceeds the size limit or the memory left for buffered answers
+task<std::optional<std::string>> read_body(exchange& current, std::shared_ptr<backend_socket> server,
+                                           answer_parser& parser)
 {
     std::string body;
+    buffer_share share(current.state_.answer_buffers_);
     std::array<char, read_buffer_bytes> read_buffer{};
-    while (!parser.is_done() && body.size() < max_plain_answer_bytes)
+    while (!parser.is_done() && body.size() < max_plain_answer_bytes && share.grow_to(body.size() + read_buffer_bytes))
     {
         parser.get().body().data = read_buffer.data();
         parser.get().body().size = read_buffer.size();
@@ -203,6 +207,25 @@
     return send_result::did_not_run;
 }
 
+/// Why the request must not be sent to @a server, although it was chosen for it: planning, reserving memory and
+/// connecting take time, in which the process may also have been paused.
+/// @return a reason id, or null when the request may be sent
+const char* reason_not_to_send(const exchange& current, const listed_server& server)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (!accepts_work(current.state_.directory_, server.id_, server.started_at_ms_, now))
+    {
+        return "server_left_or_paused";
+    }
+    const bool memory_held = std::ranges::all_of(
+        current.leases_, [](const std::shared_ptr<memory_lease>& lease) { return is_held(*lease); });
+    if (!memory_held)
+    {
+        return "memory_expired";
+    }
+    return remaining_time(current).count() <= 0 ? "time_limit_passed" : nullptr;
+}
+
 bool is_server_failure(unsigned status)
 {
     return status >= 500;
@@ -211,7 +234,7 @@
 task<send_result> relay_plain(exchange& current, listed_server server, std::shared_ptr<backend_socket> connection,
                               answer_parser& parser, server_answer answer)
 {
-    auto body = co_await read_body(connection, parser);
+    auto body = co_await read_body(current, connection, parser);
     if (!body)
     {
         co_return reject_answer(current, server, "not_whole");
@@ -232,6 +255,7 @@
                                answer_parser& parser)
 {
     const auto answer = current.state_.protocol_.read_answer_(parser.get());
+    apply_notices(current.state_, server, answer);
     if (answer.did_not_run_)
     {
         co_return record_not_run(current, server, answer);
@@ -244,6 +268,7 @@
     constexpr unsigned ok = 200;
     if (current.route_->kind_ != request_kind::streaming || answer.status_ != ok)
     {
+        set_close_deadline(*connection, current.deadline_);
         co_return co_await relay_plain(current, server, connection, parser, answer);
     }
     co_return co_await relay_events(current, connection, parser, silence_limit(*current.route_));
@@ -288,6 +313,12 @@
         current.state_.metrics_.count("gateway_sends_refused_total", {{"reason", "connect_failed"}});
         co_return send_result::did_not_run;
     }
+    if (const char* const reason = reason_not_to_send(current, server))
+    {
+        close_socket(*connection);
+        current.state_.metrics_.count("gateway_sends_refused_total", {{"reason", reason}});
+        co_return send_result::did_not_run;
+    }
     ++current.connected_sends_;
     current.watch_->backend_connection_ = connection;
     set_send_deadline(current, *connection, first_byte_deadline(current, forecast));
@@ -305,7 +336,6 @@
     }
     else
     {
-        set_close_deadline(*connection, current.deadline_);
         result = co_await relay_answer(current, server, connection, parser);
     }
     clear_close_deadline(*connection);
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -38,6 +38,20 @@
     return std::to_string(value.count());
 }
 
+/// The time after which the caller of a refused request should return.
+milliseconds time_to_return(const exchange& current)
+{
+    const bool long_prompt = current.service_->engine_ && current.route_->latency_target_ > long_prompt_retry_after;
+    const auto usual = long_prompt ? long_prompt_retry_after : default_retry_after;
+    if (has_untried_server(current))
+    {
+        return usual;
+    }
+    const auto pause =
+        time_until_pause_ends(current.state_.directory_, current.service_->id_, std::chrono::steady_clock::now());
+    return std::max(usual, pause.value_or(usual));
+}
+
 /// Ends a request that no server has answered completely.
 task<> answer_failed_request(exchange& current, send_result result)
 {
@@ -56,9 +70,8 @@
     }
     if (current.possible_runs_ == 0)
     {
-        const bool long_prompt = current.service_->engine_ && current.route_->latency_target_ > long_prompt_retry_after;
         const char* const reason = current.sends_ > 0 ? "servers_refused" : "no_server_free";
-        co_await send_gateway_answer(current, 503, reason, long_prompt ? long_prompt_retry_after : default_retry_after);
+        co_await send_gateway_answer(current, 503, reason, time_to_return(current));
         co_return;
     }
     const bool timed_out = result == send_result::out_of_time;
@@ -74,6 +87,19 @@
     std::optional<milliseconds> retry_after_;
 };
 
+/// True when the prompt needs more memory than the engines that can work on one prompt have together.
+bool exceeds_service_memory(const exchange& current)
+{
+    if (!current.service_->engine_)
+    {
+        return false;
+    }
+    const auto engines =
+        ready_servers(current.state_.directory_, current.service_->id_, std::chrono::steady_clock::now()).size();
+    return engines > 0 && current.parsed_request_.prompt_.value_or(token_count{0}) >
+                              max_joint_prompt(*current.service_->engine_, engines);
+}
+
 /// Checks the configuration, the route and the API key, and picks the service of the request.
 /// @return the refusal, or nothing when the request is admitted
 std::optional<refusal> admit(exchange& current)
@@ -112,6 +138,10 @@
         return refusal{503, "no_service", configuration_retry_after};
     }
     current.service_ = &service_entry->second;
+    if (exceeds_service_memory(current))
+    {
+        return refusal{503, "prompt_too_large", std::nullopt};
+    }
     return std::nullopt;
 }
 
@@ -126,14 +156,10 @@
     }
 }
 
-void set_deadline(exchange& current)
+milliseconds time_limit(const exchange& current)
 {
-    auto limit = current.route_->timeout_;
-    if (current.parsed_request_.time_left_)
-    {
-        limit = std::min(limit, *current.parsed_request_.time_left_);
-    }
-    current.deadline_ = current.arrived_ + limit;
+    const auto limit = current.route_->timeout_;
+    return std::min(limit, current.parsed_request_.time_left_.value_or(limit));
 }
 
 void log_request_served(const exchange& current, send_result result)
@@ -200,7 +226,7 @@
 
 void set_send_deadline(exchange& current, backend_socket& server, time_point switch_at)
 {
-    if (!can_switch_server(current) || switch_at >= current.deadline_)
+    if (!is_retry_safe(current) || switch_at >= current.deadline_)
     {
         set_close_deadline(server, current.deadline_);
         return;
@@ -214,9 +240,18 @@
     });
 }
 
+void set_deadline(exchange& current, milliseconds limit)
+{
+    const auto elapsed = std::chrono::steady_clock::now() - current.arrived_;
+    current.deadline_ = current.arrived_ + limit;
+    current.boot_deadline_ = boot_time() - elapsed + limit;
+}
+
 milliseconds remaining_time(const exchange& current)
 {
-    return remaining_until(current.deadline_, std::chrono::steady_clock::now());
+    const auto left = remaining_until(current.deadline_, std::chrono::steady_clock::now());
+    const auto boot_left = std::chrono::duration_cast<milliseconds>(current.boot_deadline_ - boot_time());
+    return std::clamp(boot_left, milliseconds{0}, left);
 }
 
 void watch_for_disconnect(exchange& current)
@@ -291,7 +326,7 @@
     current.parsed_request_ = state.protocol_.read_request_(current.request_);
     current.arrived_ = arrived;
     current.keep_alive_ = current.request_.keep_alive() && !state.stopping_;
-    current.deadline_ = arrived + current.parsed_request_.time_left_.value_or(default_time_limit);
+    set_deadline(current, current.parsed_request_.time_left_.value_or(default_time_limit));
     watch_for_disconnect(current);
     co_await wait_for_configuration(current);
     current.table_ = state.table_;
@@ -302,7 +337,7 @@
         stop_watching_for_disconnect(current);
         co_return current.keep_alive_;
     }
-    set_deadline(current);
+    set_deadline(current, time_limit(current));
     record_request(state.retry_budget_, current.service_->id_, std::chrono::steady_clock::now());
     const auto result = co_await try_servers(current);
     if (current.watch_->disconnected_)
@@ -316,7 +351,8 @@
     }
     stop_watching_for_disconnect(current);
     log_request_served(current, current.watch_->disconnected_ ? send_result::broken_off : result);
-    co_return current.keep_alive_ && !state.stopping_;
+    // A caller that was told to keep the connection may have its next request on the way, so a stop does not close it.
+    co_return current.keep_alive_;
 }
 
 }  // namespace cornelstall
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -279,6 +279,7 @@
 task<bool> reserve_memory(exchange& current, const send_plan& plan, memory_reservations& reservations)
 {
     current.helpers_.clear();
+    current.leases_.clear();
     for (std::size_t index = 1; index < plan.parts_.size(); ++index)
     {
         const auto& part = plan.parts_[index];
@@ -299,6 +300,7 @@
                 co_return false;
             }
             reservations.add(lease);
+            current.leases_.push_back(lease);
         }
         current.helpers_.push_back({part.server_.address_, std::move(reservation)});
     }
@@ -373,7 +375,7 @@
     {
         const auto plan = co_await wait_for_plan(current, hold);
         const auto now = std::chrono::steady_clock::now();
-        if (now >= current.deadline_)
+        if (remaining_time(current).count() <= 0)
         {
             co_return send_result::out_of_time;
         }
--- a/packages/runtime/include/cornelstall/runtime/process/task.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/task.hpp
@@ -2,6 +2,7 @@
 
 #include <coroutine>
 #include <exception>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <type_traits>
@@ -37,6 +38,11 @@
 /// @param name names the task in that event
 void spawn(const executor& where, const char* name, task<> work);
 
+/// @brief Runs tasks made by @a make until one ends without an exception. An exception is logged as event 4010, and the
+/// next task starts after a short delay, so that one unexpected input does not end what the process has to do
+/// throughout its life.
+void spawn_restarting(const executor& where, const char* name, std::function<task<>()> make);
+
 namespace detail
 {
 
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -16,6 +16,22 @@
 constexpr std::size_t entry_bytes = 42;
 /// What a part of a joint prompt takes more.
 constexpr std::size_t part_bytes = 12;
+/// Counts above these are read as these, so that a malformed report cannot overflow a sum or keep a forecast busy.
+constexpr std::uint32_t max_tokens = 1'000'000'000;
+constexpr std::uint32_t max_time_ms = 24U * 3600 * 1000;
+constexpr std::uint32_t max_vms = 100'000;
+constexpr std::uint32_t max_slots = 100'000;
+constexpr std::uint32_t max_priority = 1'000'000;
+
+token_count decode_tokens(std::uint32_t count)
+{
+    return token_count{std::min(count, max_tokens)};
+}
+
+milliseconds decode_time(std::uint32_t time_ms)
+{
+    return milliseconds{std::min(time_ms, max_time_ms)};
+}
 
 std::uint32_t index_of(load::LoadReport& message, std::unordered_map<server_id, std::uint32_t>& indexes,
                        const server_id& server)
@@ -53,16 +69,16 @@
 {
     engine_work work;
     work.key_ = execution_id{message.key()};
-    work.prompt_ = token_count{message.prompt_tokens()};
+    work.prompt_ = decode_tokens(message.prompt_tokens());
     work.prefill_left_ = message.generating() ? token_count{0} : work.prompt_;
-    work.answer_left_ = token_count{message.answer_tokens_left()};
+    work.answer_left_ = decode_tokens(message.answer_tokens_left());
     work.generating_ = message.generating();
-    work.priority_ = static_cast<int>(message.priority());
-    work.target_ = milliseconds{std::max<std::uint32_t>(1, message.target_ms())};
-    work.max_gap_ = milliseconds{std::max<std::uint32_t>(1, message.max_gap_ms())};
+    work.priority_ = static_cast<int>(std::min(message.priority(), max_priority));
+    work.target_ = std::max(milliseconds{1}, decode_time(message.target_ms()));
+    work.max_gap_ = std::max(milliseconds{1}, decode_time(message.max_gap_ms()));
     work.abandon_after_ = abandon_timeout(work.target_, work.max_gap_);
     work.late_ = message.late();
-    work.arrived_ = now - milliseconds{message.age_ms()};
+    work.arrived_ = now - decode_time(message.age_ms());
     work.sent_at_ = now;
     work.value_ = request_value(work.prompt_, work.answer_left_);
     if (message.claims())
@@ -73,8 +89,8 @@
     }
     if (message.joint_prompt_tokens() > 0)
     {
-        work.joint_prompt_ = token_count{message.joint_prompt_tokens()};
-        work.prefill_left_ = message.generating() ? token_count{0} : token_count{message.part_tokens()};
+        work.joint_prompt_ = decode_tokens(message.joint_prompt_tokens());
+        work.prefill_left_ = message.generating() ? token_count{0} : decode_tokens(message.part_tokens());
         work.is_helper_ = message.helps();
         work.value_ = work.is_helper_ ? 0.0 : request_value(work.joint_prompt_, work.answer_left_);
     }
@@ -110,10 +126,10 @@
     server.service_ = service_id{message.service()};
     server.address_ = socket_address{message.address()};
     server.data_centre_ = data_centre_id{message.data_centre()};
-    server.slots_ = static_cast<int>(message.slots());
+    server.slots_ = static_cast<int>(std::min(message.slots(), max_slots));
     server.state_ = message.draining() ? server_state::draining : server_state::ready;
     server.started_at_ms_ = message.born_ms();
-    server.cold_remaining_ = milliseconds{message.warm_up_ms()};
+    server.cold_remaining_ = decode_time(message.warm_up_ms());
     return change;
 }
 
@@ -166,6 +182,12 @@
     message.set_only_news(report.log_update_only_);
     message.set_vms_known(static_cast<std::uint32_t>(report.vms_known_));
     encode_news(*message.mutable_news(), report.log_update_);
+    std::ranges::for_each(report.leaving_servers_, [&message](const leaving_server& server) {
+        auto& entry = *message.add_leaving_servers();
+        entry.set_id(server.id_.get());
+        entry.set_born_ms(server.started_at_ms_);
+        entry.set_age_ms(static_cast<std::uint32_t>(server.age_.count()));
+    });
     std::unordered_map<server_id, std::uint32_t> indexes;
     std::size_t bytes = message.ByteSizeLong();
     for (const auto& entry : report.work_)
@@ -199,7 +221,11 @@
     report.version_ = configuration_version{message.configuration_version()};
     report.leaving_ = message.leaving();
     report.log_update_only_ = message.only_news();
-    report.vms_known_ = message.vms_known();
+    report.vms_known_ = std::min(message.vms_known(), max_vms);
+    std::ranges::transform(
+        message.leaving_servers(), std::back_inserter(report.leaving_servers_), [](const load::LeavingServer& server) {
+            return leaving_server{server_id{server.id()}, server.born_ms(), decode_time(server.age_ms())};
+        });
     report.log_update_ = decode_news(message.news());
     std::ranges::for_each(message.work(), [&](const load::Work& work) {
         if (work.server() < static_cast<std::uint32_t>(message.servers_size()))
--- a/tests/decisions/gateway_state_test.cpp
+++ b/tests/decisions/gateway_state_test.cpp
@@ -101,7 +101,7 @@
     server_directory directory;
     upsert_listed_server(directory, make_server("a", 1), log_offset{1}, start);
     CHECK(upsert_listed_server(directory, make_server("a", 1, server_state::draining), log_offset{2}, start));
-    CHECK(ready_servers(directory, service_id{"s"}).empty());
+    CHECK(ready_servers(directory, service_id{"s"}, start).empty());
 }
 
 TEST_CASE("retries of all VMs together stay within the bound without communication between the VMs")
--- a/tests/gateway/fake_server.hpp
+++ b/tests/gateway/fake_server.hpp
@@ -20,6 +20,8 @@
 {
     std::string bytes_;       ///< sent unchanged, header included
     bool keep_open_ = false;  ///< wait for the gateway to close the connection after the bytes were sent
+    std::string endless_{};   ///< sent again and again after the bytes until the gateway closes the connection
+    milliseconds pause_{0};   ///< between two repetitions of `endless_`
 };
 
 /// @brief A backend server on the loopback interface that responds as a test's function says.
@@ -40,6 +42,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::function<scripted_response(const request&)> script_;
     std::vector<request> received_requests_;
+    int endless_ended_ = 0;      ///< answers without end that the gateway ended by closing the connection
     int closed_by_gateway_ = 0;  ///< connections with `keep_open_` that the gateway closed
 };
 
@@ -59,6 +62,16 @@
     const auto response = server->script_(message);
     co_await boost::asio::async_write(socket, boost::asio::buffer(response.bytes_),
                                       boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+    while (!response.endless_.empty() && !failed)
+    {
+        co_await boost::asio::async_write(socket, boost::asio::buffer(response.endless_),
+                                          boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+        if (response.pause_.count() > 0)
+        {
+            co_await sleep_for(response.pause_);
+        }
+    }
+    server->endless_ended_ += response.endless_.empty() ? 0 : 1;
     if (response.keep_open_)
     {
         char byte = 0;
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -57,6 +57,13 @@
         answer.request_id_ = request_id{std::string(head["X-Id"])};
         answer.did_not_run_ = head.find("X-Not-Run") != head.end();
         answer.authentic_ = head.find("X-Seal") != head.end();
+        answer.leaving_ = head.find("X-Leaving") != head.end();
+        const auto pause = head["X-Pause"];
+        std::int64_t pause_ms = 0;
+        if (std::from_chars(pause.data(), pause.data() + pause.size(), pause_ms).ec == std::errc{})
+        {
+            answer.retry_after_ = milliseconds{pause_ms};
+        }
         return answer;
     };
     protocol.strip_answer_fields_ = [](http::fields& fields) {
--- a/tests/gateway/memory_lease_test.cpp
+++ b/tests/gateway/memory_lease_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -196,3 +197,28 @@
     caller.close();
     CHECK(gateway.run_until([&gateway] { return gateway.state_.open_leases_ == 0; }));
 }
+
+TEST_CASE("a process that was paused until a reservation expired does not use it")
+{
+    gateway_fixture gateway;
+    gateway.state_.settings_.memory_reservation_timeout_ = milliseconds{150};
+    gateway.activate_route(long_route(), small_engine());
+    auto paused = std::make_shared<bool>(false);
+    for (int index = 0; index < 3; ++index)
+    {
+        gateway.add_server([paused](const auto& message) {
+            if (is_order(message, "reserve") && !std::exchange(*paused, true))
+            {
+                // Blocks the only thread of the process, as a pause between the order and its confirmation does.
+                std::this_thread::sleep_for(milliseconds{250});
+            }
+            return plain_response("200 OK", "answer");
+        });
+    }
+    const auto answer = gateway.send_raw_request(long_request());
+    CHECK(answer.find("answer") != std::string::npos);
+    CHECK(request_count(gateway) == 1);
+    // The request went out with a reservation that was made after the pause.
+    CHECK(order_count(gateway, "reserve") >= 2);
+    REQUIRE(gateway.run_until([&gateway] { return gateway.state_.open_leases_ == 0; }));
+}
--- a/tests/gateway/server_list_test.cpp
+++ b/tests/gateway/server_list_test.cpp
@@ -51,7 +51,7 @@
     CHECK(state.server_list_.next_ == log_offset{20});
     CHECK_FALSE(is_read_due(state, state.server_list_.confirmed_at_));
     apply_log_update(state, make_update(20, 25, {make_change("b", 22, server_state::draining)}), {});
-    CHECK(ready_servers(state.directory_, service_id{"s"}).empty());
+    CHECK(ready_servers(state.directory_, service_id{"s"}, std::chrono::steady_clock::now()).empty());
 }
 
 TEST_CASE("a log update of a VM with another configuration version does not permit accepting keys")
@@ -102,7 +102,7 @@
         CHECK(bytes.size() <= 1400);
         apply_log_update(receiver.state_, decode_load_report(bytes, std::chrono::steady_clock::now())->log_update_, {});
     }
-    CHECK(ready_servers(receiver.state_.directory_, service_id{"s"}).empty());
+    CHECK(ready_servers(receiver.state_.directory_, service_id{"s"}, std::chrono::steady_clock::now()).empty());
     CHECK_FALSE(is_read_due(receiver.state_, receiver.state_.server_list_.confirmed_at_));
 }
 
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -1,3 +1,5 @@
+#include <random>
+
 #include <catch2/catch.hpp>
 
 #include "cornelstall/platform.hpp"
@@ -227,3 +229,170 @@
     CHECK(read(misdirected).did_not_run_);
     CHECK(read(misdirected).wrong_server_);
 }
+
+TEST_CASE("Retry-After of a refusing server is read in whole and fractional seconds")
+{
+    namespace http = boost::beast::http;
+    const auto read = [](http::status status, const std::string& value) {
+        http::response<http::string_body> response(status, 11);
+        response.set(http::field::retry_after, value);
+        return platform::platform_protocol().read_answer_(response).retry_after_;
+    };
+    const auto refused = http::status::service_unavailable;
+    CHECK(read(refused, "2") == milliseconds{2000});
+    CHECK(read(refused, "0.25") == milliseconds{250});
+    CHECK(read(refused, "0") == milliseconds{0});
+    CHECK(read(refused, "9e300") == std::nullopt);
+    CHECK(read(refused, "100000000000000000000000") == std::chrono::hours{24});
+    CHECK(read(http::status::ok, "2") == std::nullopt);
+    const auto malformed = GENERATE(as<std::string>{}, "", "-1", "soon", "nan", "inf", "2 s", "1e400",
+                                    "Wed, 21 Oct 2026 07:28:00 GMT", "0x10");
+    CHECK(read(refused, malformed) == std::nullopt);
+}
+
+TEST_CASE("a server announces with Server-Leaving in any answer that it is leaving")
+{
+    namespace http = boost::beast::http;
+    const auto read = platform::platform_protocol().read_answer_;
+    const auto status = GENERATE(http::status::ok, http::status::service_unavailable, http::status::not_found);
+    http::response<http::string_body> response(status, 11);
+    CHECK_FALSE(read(response).leaving_);
+    response.set("Server-Leaving", "0");
+    CHECK_FALSE(read(response).leaving_);
+    response.set("Server-Leaving", "1");
+    CHECK(read(response).leaving_);
+}
+
+// Unbounded counts overflowed the sums of the forecast.
+TEST_CASE("token counts and time limits of a caller are bounded")
+{
+    namespace http = boost::beast::http;
+    http::request<http::string_body> message(http::verb::post, "/a/", 11);
+    message.set("Token-Counts", "9223372036854775807,9223372036854775807");
+    message.set("Length-Hint", "9223372036854775807");
+    message.set("Deadline-Ms", "9223372036854775807");
+    const auto request = platform::platform_protocol().read_request_(message);
+    CHECK(request.prompt_ == token_count{1'000'000'000});
+    CHECK(request.max_output_tokens_ == token_count{1'000'000'000});
+    CHECK(request.expected_output_tokens_ == token_count{1'000'000'000});
+    CHECK(request.time_left_ == std::chrono::hours{24});
+}
+
+namespace
+{
+
+std::string entry_with(const std::string& fields)
+{
+    return R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":16,"state":"ready")" + fields + "}";
+}
+
+std::string nested(std::size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+}  // namespace
+
+// Conversions of such numbers are undefined and gave other results on x86-64 than on arm64.
+TEST_CASE("a server entry with a number out of range, deep nesting or an unusable text is rejected")
+{
+    CHECK(platform::decode_server("i-1", entry_with("")));
+    const auto odd = GENERATE(
+        as<std::string>{}, R"({"service":"s1","address":"10.0.0.1:0","zone":"z","slots":16,"state":"ready"})",
+        R"({"service":"s1","address":"10.0.0.1:65536","zone":"z","slots":16,"state":"ready"})",
+        R"({"service":"s1","address":"10.0.0.1:-1","zone":"z","slots":16,"state":"ready"})",
+        R"({"service":"s1","address":"server.example:80","zone":"z","slots":16,"state":"ready"})",
+        R"({"service":"s1","address":"","zone":"z","slots":16,"state":"ready"})",
+        R"({"service":"","address":"10.0.0.1:80","zone":"z","slots":16,"state":"ready"})",
+        R"({"service":["s1"],"address":"10.0.0.1:80","zone":"z","slots":16,"state":"ready"})",
+        R"({"service":"s1","address":"10.0.0.1:80","zone":null,"slots":16,"state":"ready"})",
+        R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":1e300,"state":"ready"})",
+        R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":4294967300,"state":"ready"})",
+        R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":-1,"state":"ready"})",
+        R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":NaN,"state":"ready"})", R"([])", R"("text")",
+        "17", "null", "",
+        // A later member of the same name replaces an earlier one.
+        entry_with(R"(,"slots":0)"), entry_with(R"(,"cold_remaining_ms":1e300)"),
+        entry_with(R"(,"cold_remaining_ms":-5)"), entry_with(R"(,"cold_remaining_ms":1e400)"),
+        entry_with(R"(,"cold_remaining_ms":"soon")"), entry_with(R"(,"born":1e300)"), entry_with(R"(,"born":-1)"),
+        entry_with(R"(,"born":18446744073709551616)"), entry_with(R"(,"born":18446744073709551615)"),
+        entry_with(",\"x\":" + nested(100'000)), nested(100'000), std::string(100'000, '['),
+        entry_with(R"(,"zone":")" + std::string(1'000'000, 'z') + "\""), entry_with(",\"zone\":\"\xff\xfe\""));
+    CHECK_FALSE(platform::decode_server("i-1", odd));
+    CHECK_FALSE(platform::decode_server("\xff\xfe", entry_with("")));
+}
+
+TEST_CASE("a configuration with a number out of range gives no routing table")
+{
+    const auto field =
+        GENERATE(as<std::string>{}, "\"timeout_ms\":10000", "\"target_latency_ms\":250", "\"gap_aim_ms\":250",
+                 "\"slots\":16", "\"kv_capacity_tokens\":405000", "\"stride\":34", "\"max_connections\":424",
+                 "\"max_body_bytes\":4194304", "\"weight\":90", "\"max_attempts\":2", "\"priority\":0");
+    const auto value = GENERATE(as<std::string>{}, "1e300", "-1", "\"x\"", "[]", "1e400");
+    auto text = configuration_text;
+    REQUIRE(text.find(field) != std::string::npos);
+    text.replace(text.find(field), field.size(), field.substr(0, field.find(':') + 1) + value);
+    CHECK(platform::decode_routing_table(text) == nullptr);
+}
+
+TEST_CASE("mutated server entries and configurations are decoded into usable values or rejected")
+{
+    constexpr int cases = 100'000;
+    std::mt19937_64 random(20261205);
+    const auto below = [&random](std::size_t bound) {
+        return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
+    };
+    const std::vector<std::string> fragments{"1e400",
+                                             "-1",
+                                             "9223372036854775808",
+                                             "1e300",
+                                             "\"",
+                                             "{",
+                                             "}",
+                                             "[",
+                                             "]",
+                                             ",",
+                                             ":",
+                                             "null",
+                                             "\xff",
+                                             "\"slots\":",
+                                             "\"born\":",
+                                             "\\u0000",
+                                             "0",
+                                             "65536",
+                                             "\"address\":\"1.2.3.4:0\""};
+    const auto mutate = [&](std::string text) {
+        const auto changes = 1 + below(4);
+        for (std::size_t change = 0; change < changes; ++change)
+        {
+            const auto at = below(text.size());
+            const auto& fragment = fragments[below(fragments.size())];
+            const auto removed = below(8);
+            text.replace(at, std::min(removed, text.size() - at), below(3) == 0 ? "" : fragment);
+            text += text.empty() ? "x" : "";
+        }
+        return text;
+    };
+    const auto entry = entry_with(R"(,"sequence":4,"cold_remaining_ms":100,"born":1700000000000)");
+    int usable = 0;
+    int implausible = 0;
+    for (int index = 0; index < cases; ++index)
+    {
+        const auto server = platform::decode_server("i-1", mutate(entry));
+        usable += server ? 1 : 0;
+        const bool plausible =
+            !server ||
+            (server->slots_ >= 1 && server->slots_ <= 100'000 && server->cold_remaining_ >= milliseconds{0} &&
+             server->cold_remaining_ <= std::chrono::hours{24} && parse_endpoint(server->address_.get())->port() != 0);
+        implausible += plausible ? 0 : 1;
+    }
+    CHECK(implausible == 0);
+    CHECK(usable > 0);
+    CHECK(usable < cases);
+    for (int index = 0; index < cases / 100; ++index)
+    {
+        const auto table = platform::decode_routing_table(mutate(configuration_text));
+        implausible += table && table->limits_.header_bytes_.get() == 0 ? 1 : 0;
+    }
+    CHECK(implausible == 0);
+}
--- a/tests/wire/load_codec_test.cpp
+++ b/tests/wire/load_codec_test.cpp
@@ -1,3 +1,5 @@
+#include <random>
+
 #include <catch2/catch.hpp>
 
 #include "cornelstall/wire.hpp"
@@ -105,3 +107,48 @@
     CHECK_FALSE(decode_load_report("\xff\xff\xff", now));
     CHECK_FALSE(decode_load_report("", now));
 }
+
+TEST_CASE("leaving servers are reported with the age of their announcement")
+{
+    auto written = report_with(1);
+    written.leaving_servers_ = {{server_id{"i-1"}, 1700000000000, milliseconds{40}}};
+    const auto report = decode_load_report(encode_load_report(written, byte_count{1400}, now), now);
+    REQUIRE(report);
+    REQUIRE(report->leaving_servers_.size() == 1);
+    CHECK(report->leaving_servers_[0].id_ == server_id{"i-1"});
+    CHECK(report->leaving_servers_[0].started_at_ms_ == 1700000000000);
+    CHECK(report->leaving_servers_[0].age_ == milliseconds{40});
+}
+
+// A forecast of a prompt of 4 billion tokens keeps the process busy, and a fleet of 4 billion VMs has too many cells.
+TEST_CASE("mutated reports are decoded into bounded values or refused")
+{
+    constexpr int cases = 20'000;
+    std::mt19937_64 random(20261205);
+    const auto valid = encode_load_report(report_with(4), byte_count{1400}, now);
+    int implausible = 0;
+    for (int index = 0; index < cases; ++index)
+    {
+        auto bytes = valid;
+        for (std::uint64_t change = 0; change <= random() % 6; ++change)
+        {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        const auto report = decode_load_report(bytes, now);
+        if (!report)
+        {
+            continue;
+        }
+        implausible += report->vms_known_ > 100'000 ? 1 : 0;
+        for (const auto& entry : report->work_)
+        {
+            const auto& work = entry.work_;
+            const bool plausible = work.prompt_ <= token_count{1'000'000'000} &&
+                                   work.answer_left_ <= token_count{1'000'000'000} &&
+                                   work.target_ <= std::chrono::hours{24} && work.priority_ >= 0 &&
+                                   work.arrived_ >= now - std::chrono::hours{24};
+            implausible += plausible ? 0 : 1;
+        }
+    }
+    CHECK(implausible == 0);
+}
