Pass configurations on between VMs and read the store as often as its bounds ask

Change: a VM that is behind gets the document from a VM of its data centre within a byte budget and falls back to the store; failed reads back off to 4 s except for the first two readers; poll delays are shares of the tightest bound; a restarted VM reads before it appends; a report of a process whose clock was set back is accepted.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -4,6 +4,7 @@
 /// All decisions of cornelstall: free functions over plain structs. They do not read a clock, send messages or depend
 /// on an encoding, so that any front end can use them.
 
+#include "cornelstall/decisions/connection/configuration_source.hpp"
 #include "cornelstall/decisions/connection/load_report.hpp"
 #include "cornelstall/decisions/connection/log_update.hpp"
 #include "cornelstall/decisions/connection/peer_delta.hpp"
@@ -29,6 +30,7 @@
 #include "cornelstall/decisions/request/stream_parts.hpp"
 #include "cornelstall/decisions/request/tokens.hpp"
 #include "cornelstall/decisions/version/configuration.hpp"
+#include "cornelstall/decisions/version/configuration_document.hpp"
 #include "cornelstall/decisions/version/ordering.hpp"
 #include "cornelstall/decisions/version/replay.hpp"
 #include "cornelstall/decisions/version/routing_table.hpp"
--- a/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
@@ -23,6 +23,7 @@
     incarnation incarnation_;  ///< increases with each process start; a higher value replaces a lower one
     std::uint64_t sequence_ = 0;
     socket_address address_;
+    data_centre_id data_centre_;
     std::vector<reported_work> work_;
     configuration_version version_;
     bool leaving_ = false;
@@ -43,6 +44,7 @@
     configuration_version version_;
     bool log_reachable_ = false;
     log_offset server_list_end_;  ///< the VM knows the server list up to, but not including, this offset
+    data_centre_id data_centre_;
 };
 
 /// @brief The other VMs by id.
@@ -63,11 +65,12 @@
 /// @brief Adds a VM whose address is known but that has not sent a report yet.
 void add_peer(vm_peers& peers, const vm_id& id, const socket_address& address, time_point now);
 
-/// @brief The position, from 0, of this VM among the live VMs that can read the platform's log. All VMs compute the
-/// same order.
+/// @brief The position, from 0, of this VM in the order in which the live VMs read the platform's log: first those that
+/// can read it, then the others. All VMs compute the same order.
+/// @param reachable whether this VM can read the log
 /// @param limit a VM that has been silent for this long is not counted
-[[nodiscard]] std::size_t log_reader_position(const vm_peers& peers, const vm_id& self, milliseconds limit,
-                                              time_point now);
+[[nodiscard]] std::size_t log_reader_position(const vm_peers& peers, const vm_id& self, bool reachable,
+                                              milliseconds limit, time_point now);
 
 /// @brief The smallest offset from which a VM lacks changes of the server list, or @a own_next when none does. VMs that
 /// have been silent for @a limit or have not read the list yet are not counted.
--- a/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
@@ -30,7 +30,8 @@
 
 /// @brief The data age at which the VM at @a position reads the log itself. Later positions wait longer, so that one
 /// read serves all VMs while the first readers are alive.
-[[nodiscard]] milliseconds log_poll_delay(std::size_t position);
+/// @param bound age that the data must not exceed
+[[nodiscard]] milliseconds log_poll_delay(std::size_t position, milliseconds bound);
 
 /// @brief Splits @a update into parts of at most @a max_changes changes with contiguous offset ranges. Only the last
 /// part has the age of the server list, because the others do not reach its end.
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Longer than a datagram can be delayed, so that a report of an earlier process is not taken for one of a later one.
+constexpr milliseconds restart_silence{1500};
+
 engine_work* find_work(fleet_load& load, const reported_work& wanted)
 {
     const auto engine = load.engines_.find(wanted.server_);
@@ -71,6 +74,13 @@
 bool apply_report(vm_peers& peers, fleet_load& load, const load_report& report, time_point now)
 {
     auto& peer = peers.peers_[report.vm_];
+    // A process whose clock was set back before its restart has a lower incarnation than the one before it.
+    const bool clock_set_back = report.incarnation_ < peer.incarnation_ && now - peer.heard_at_ > restart_silence;
+    if (clock_set_back)
+    {
+        peer.incarnation_ = report.incarnation_;
+        peer.sequence_ = 0;
+    }
     if (report.incarnation_ < peer.incarnation_ ||
         (report.incarnation_ == peer.incarnation_ && report.sequence_ <= peer.sequence_))
     {
@@ -97,7 +107,8 @@
                    report.work_,
                    report.version_,
                    report.log_update_.log_reachable_,
-                   report.log_update_.server_list_end_};
+                   report.log_update_.server_list_end_,
+                   report.data_centre_};
     if (report.leaving_ && report.work_.empty())
     {
         peers.peers_.erase(report.vm_);
@@ -115,14 +126,17 @@
     }
 }
 
-std::size_t log_reader_position(const vm_peers& peers, const vm_id& self, milliseconds limit, time_point now)
+std::size_t log_reader_position(const vm_peers& peers, const vm_id& self, bool reachable, milliseconds limit,
+                                time_point now)
 {
     const auto position_hash = [](const vm_id& id) {
         return XXH64(id.get().data(), id.get().size(), 0);
     };
     return static_cast<std::size_t>(std::ranges::count_if(peers.peers_, [&](const auto& entry) {
-        return entry.second.log_reachable_ && now - entry.second.heard_at_ < limit &&
-               position_hash(entry.first) < position_hash(self);
+        const auto& peer = entry.second;
+        const bool comes_first = peer.log_reachable_ == reachable ? position_hash(entry.first) < position_hash(self)
+                                                                  : peer.log_reachable_;
+        return now - peer.heard_at_ < limit && comes_first;
     }));
 }
 
--- a/packages/decisions/src/connection/log_update.cpp
+++ b/packages/decisions/src/connection/log_update.cpp
@@ -9,25 +9,30 @@
 namespace
 {
 
-/// Age of its data at which the first VM reads the log. A leaving server must receive no requests later than 2 s after
-/// it has announced that it leaves.
-constexpr milliseconds first_poll_delay{600};
-/// At this age a read of the first VM and its report are overdue; the second VM reads the log `poll_delay_step` later.
-constexpr milliseconds second_poll_delay{1000};
+/// Shares of the staleness bound. At the first the first VM reads the log; at the second its read and its report are
+/// overdue, and the second VM reads it. At the third every VM does, so that the read and the use of what it shows end
+/// within the bound.
+constexpr double first_poll_share = 0.3;
+constexpr double second_poll_share = 0.5;
+constexpr double max_poll_share = 0.75;
 /// Staggers the other VMs, so that a fleet that lost its readers does not read all at once.
 constexpr milliseconds poll_delay_step{20};
-constexpr milliseconds max_poll_delay{1500};
+
+milliseconds share_of(milliseconds bound, double share)
+{
+    return milliseconds{static_cast<std::int64_t>(share * static_cast<double>(bound.count()))};
+}
 
 }  // namespace
 
-milliseconds log_poll_delay(std::size_t position)
+milliseconds log_poll_delay(std::size_t position, milliseconds bound)
 {
     if (position == 0)
     {
-        return first_poll_delay;
+        return share_of(bound, first_poll_share);
     }
     const auto steps = static_cast<std::int64_t>(std::min<std::size_t>(position, 1000));
-    return std::min(max_poll_delay, second_poll_delay + poll_delay_step * steps);
+    return std::min(share_of(bound, max_poll_share), share_of(bound, second_poll_share) + poll_delay_step * steps);
 }
 
 std::vector<log_update> split_log_update(const log_update& update, std::size_t max_changes)
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -57,6 +57,7 @@
     report.incarnation_ = state.incarnation_;
     report.sequence_ = ++exchange.sequence_;
     report.address_ = socket_address{state.settings_.ip_ + ":" + std::to_string(state.settings_.load_port_)};
+    report.data_centre_ = state.settings_.data_centre_;
     report.version_ = state.table_ ? state.table_->version_ : configuration_version{};
     report.leaving_ = state.stopping_;
     report.vms_known_ = known_vms(state.peers_);
--- a/packages/gateway/src/process/announce.cpp
+++ b/packages/gateway/src/process/announce.cpp
@@ -44,9 +44,23 @@
 task<> announce_vm(gateway_state& state, record_log log)
 {
     const auto& own = state.settings_;
-    // Appends before reading, so that of two VMs that start at the same time at least one finds the other.
-    co_await append_with_retries(log, own.name_, own.ip_ + ":" + std::to_string(own.load_port_));
-    const auto page = co_await read_with_retries(log);
+    const auto address = own.ip_ + ":" + std::to_string(own.load_port_);
+    record_page page;
+    if (!own.first_start_)
+    {
+        auto first_read = co_await read_with_retries(log);
+        page = std::move(first_read);
+    }
+    const bool announced = std::ranges::any_of(page.records_, [&](const keyed_record& record) {
+        return record.key_ == own.name_ && record.value_ == address;
+    });
+    if (!announced)
+    {
+        // Appends before reading, so that of two VMs that start at the same time at least one finds the other.
+        co_await append_with_retries(log, own.name_, address);
+        auto read_after = co_await read_with_retries(log);
+        page = std::move(read_after);
+    }
     const auto now = std::chrono::steady_clock::now();
     std::ranges::for_each(page.records_, [&](const keyed_record& record) {
         if (!record.removed_ && record.key_ != own.name_)
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -17,7 +17,15 @@
 /// Interval between checks whether a read is due.
 constexpr milliseconds check_interval{100};
 constexpr milliseconds initial_backoff{200};
-constexpr milliseconds max_backoff{1000};
+/// Longest delay between failed reads of the first two readers, which have to notice when the log is back.
+constexpr milliseconds max_reader_backoff{1000};
+/// Longest delay of the other VMs, which follow the reports of the readers.
+constexpr milliseconds max_follower_backoff{4000};
+
+milliseconds longest_backoff(const gateway_state& state)
+{
+    return own_reader_position(state) < 2 ? max_reader_backoff : max_follower_backoff;
+}
 
 struct follower
 {
@@ -118,7 +126,7 @@
             co_return page;
         }
         co_await sleep_for(backoff);
-        backoff = std::min(backoff * 2, max_backoff);
+        backoff = std::min(backoff * 2, longest_backoff(self.state_));
     }
 }
 
@@ -132,7 +140,7 @@
     update_reachability(self, page.reached_);
     if (!page.reached_)
     {
-        co_await sleep_for(max_backoff);
+        co_await sleep_for(longest_backoff(self.state_));
         co_return true;
     }
     if (page.expired_)
--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -8,6 +8,8 @@
 #include "cornelstall/gateway/connection/backend_socket.hpp"
 #include "cornelstall/gateway/connection/load_exchange.hpp"
 #include "cornelstall/gateway/connection/status_listener.hpp"
+#include "cornelstall/gateway/version/follow_table.hpp"
+#include "cornelstall/wire.hpp"
 
 namespace cornelstall
 {
@@ -56,8 +58,25 @@
     state.metrics_.set("gateway_routes_version", {}, version);
 }
 
-status_response metrics_response(gateway_state& state)
+/// The configuration that is in force here, for a VM that does not have it yet.
+status_response document_response(gateway_state& state)
 {
+    constexpr unsigned unavailable = 503;
+    const auto size = byte_count{state.table_document_.text_.size()};
+    if (size == byte_count{0} || !take_transfer(state.document_transfers_, size, clock::now()))
+    {
+        return {unavailable, ""};
+    }
+    state.metrics_.count("gateway_configuration_transfers_total");
+    return {200, encode_document(state.table_document_)};
+}
+
+status_response metrics_response(gateway_state& state, const std::string& target)
+{
+    if (target == configuration_path)
+    {
+        return document_response(state);
+    }
     update_gauges(state);
     return {200, state.metrics_.exposition()};
 }
@@ -157,7 +176,7 @@
     });
     spawn_restarting(state.executor_, "serve_metrics", [&state, &acceptors] {
         return serve_status(state.executor_, acceptors.metrics_,
-                            [&state](const std::string&) { return metrics_response(state); });
+                            [&state](const std::string& target) { return metrics_response(state, target); });
     });
     callbacks.on_start_(state);
     log_event(severity::info, gateway_started, "accepting callers",
--- a/packages/gateway/src/process/gateway_state.cpp
+++ b/packages/gateway/src/process/gateway_state.cpp
@@ -39,6 +39,7 @@
 {
     retry_budget_.bound_ = settings_.retry_budget_;
     retry_budget_.vms_ = settings_.min_vms_;
+    answer_buffers_.limit_ = settings_.answer_buffer_limit_;
 }
 
 std::chrono::nanoseconds boot_time()
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -205,13 +205,13 @@
 
 std::size_t own_reader_position(const gateway_state& state)
 {
-    return log_reader_position(state.peers_, vm_id{state.settings_.name_}, reader_silence_limit,
-                               std::chrono::steady_clock::now());
+    return log_reader_position(state.peers_, vm_id{state.settings_.name_}, state.server_list_reachable_,
+                               reader_silence_limit, std::chrono::steady_clock::now());
 }
 
 bool is_read_due(const gateway_state& state, std::chrono::nanoseconds confirmed_at)
 {
-    return age_of(confirmed_at) >= log_poll_delay(own_reader_position(state));
+    return age_of(confirmed_at) >= log_poll_delay(own_reader_position(state), state.settings_.staleness_bound_);
 }
 
 }  // namespace cornelstall
--- a/packages/gateway/src/version/follow_table.cpp
+++ b/packages/gateway/src/version/follow_table.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "cornelstall/gateway/connection/http_client.hpp"
+#include "cornelstall/wire.hpp"
+
 namespace cornelstall
 {
 
@@ -12,13 +15,21 @@
 constexpr event_kind log_unreachable{3022, "routes_log_unreachable"};
 constexpr event_kind log_reached{3023, "routes_log_reached"};
 
-/// Longest wait of a long poll of the first reader. Each response confirms the active table, so this bounds the age of
-/// the confirmation.
-constexpr milliseconds long_poll_timeout{600};
 /// Interval between checks whether a read is due.
 constexpr milliseconds check_interval{100};
 constexpr milliseconds initial_backoff{100};
-constexpr milliseconds max_backoff{500};
+/// Longest delay between failed reads of the first two readers, which have to notice when the log is back.
+constexpr milliseconds max_reader_backoff{500};
+/// Longest delay of the other VMs, which follow the reports of the readers.
+constexpr milliseconds max_follower_backoff{4000};
+/// Transfers from other VMs that may fail before a VM reads a new version from the log itself.
+constexpr int max_failed_transfers = 4;
+/// A VM on the slowest link needs about 0.2 s for the largest documents.
+constexpr milliseconds transfer_timeout{600};
+/// A VM that was refused a transfer asks another one after a random delay of at most this length; by then more VMs have
+/// the version.
+constexpr milliseconds max_transfer_delay{120};
+constexpr byte_count max_document_bytes{4ULL * 1024 * 1024};
 
 struct follower
 {
@@ -26,6 +37,7 @@
     record_log log_;
     table_decoder decode_;
     bool log_unreachable_ = false;
+    int failed_transfers_ = 0;  ///< since the last new version
 };
 
 void apply_record(follower& self, const keyed_record& record)
@@ -43,7 +55,52 @@
                   {{"key", record.key_}, {"offset", std::to_string(record.offset_.get())}});
         return;
     }
-    activate_table(self.state_, std::move(table));
+    const auto version = table->version_;
+    if (activate_table(self.state_, std::move(table)))
+    {
+        self.state_.table_document_ = {version, record.offset_, record.key_, record.value_};
+        self.state_.schedule_load_report_();
+        self.failed_transfers_ = 0;
+    }
+}
+
+milliseconds longest_backoff(const gateway_state& state)
+{
+    return own_reader_position(state) < 2 ? max_reader_backoff : max_follower_backoff;
+}
+
+double draw(gateway_state& state)
+{
+    return std::uniform_real_distribution<double>(0.0, 1.0)(state.random_);
+}
+
+/// Address at which the VM @a id serves its configuration: all VMs use the same port for metrics.
+std::string document_address(const gateway_state& state, const vm_id& id)
+{
+    const auto& address = state.peers_.peers_.at(id).address_.get();
+    return address.substr(0, address.rfind(':') + 1) + std::to_string(state.settings_.metrics_port_);
+}
+
+/// Gets the newest version from another VM.
+/// @param next raised to the offset after the record of the document
+/// @return true when a newer version became active
+task<bool> fetch_from_peer(follower& self, vm_id source, log_offset& next)
+{
+    auto& state = self.state_;
+    const http_client client{state.executor_, document_address(state, source), max_document_bytes};
+    const auto response = co_await call(client, "GET", configuration_path, "", "", transfer_timeout);
+    const auto document = response.status_ == 200 ? decode_document(response.body_) : std::nullopt;
+    if (!document || (state.table_ && document->version_ <= state.table_->version_))
+    {
+        ++self.failed_transfers_;
+        co_return false;
+    }
+    const auto version_before = state.table_ ? state.table_->version_ : configuration_version{};
+    apply_record(self, {document->key_, document->text_, false, document->offset_});
+    const bool activated = state.table_ && state.table_->version_ > version_before;
+    self.failed_transfers_ += activated ? 0 : 1;
+    next = activated ? std::max(next, document->offset_.next()) : next;
+    co_return activated;
 }
 
 void update_reachability(follower& self, bool reachable)
@@ -89,6 +146,19 @@
     return !state.table_ || state.table_->version_ < newest_peer_version(state.peers_);
 }
 
+/// The VM to get a newer version from, or nothing when none has one or transfers have failed too often.
+std::optional<vm_id> choose_source(follower& self)
+{
+    auto& state = self.state_;
+    if (self.failed_transfers_ >= max_failed_transfers)
+    {
+        return std::nullopt;
+    }
+    const auto own = state.table_ ? state.table_->version_ : configuration_version{};
+    return choose_configuration_source(state.peers_, state.settings_.data_centre_, own, draw(state),
+                                       std::chrono::steady_clock::now());
+}
+
 task<> follow_changes(follower& self, log_offset next)
 {
     auto& state = self.state_;
@@ -96,12 +166,25 @@
     while (true)
     {
         const bool long_polls = is_first_reader(state);
-        if (!long_polls && !is_behind_peers(state) && !is_read_due(state, state.table_confirmed_at_))
+        const bool read_due = is_read_due(state, state.table_confirmed_at_);
+        if (!long_polls && !is_behind_peers(state) && !read_due)
         {
             co_await sleep_for(check_interval);
             continue;
         }
-        const auto poll_timeout = long_polls ? long_poll_timeout : milliseconds{0};
+        const auto source = choose_source(self);
+        if (!long_polls && source)
+        {
+            const bool fetched = co_await fetch_from_peer(self, *source, next);
+            if (!fetched)
+            {
+                co_await sleep_for(milliseconds{
+                    static_cast<std::int64_t>(draw(state) * static_cast<double>(max_transfer_delay.count()))});
+            }
+            continue;
+        }
+        // Each response confirms the active table, so the wait of a long poll bounds the age of the confirmation.
+        const auto poll_timeout = long_polls ? log_poll_delay(0, state.settings_.staleness_bound_) : milliseconds{0};
         const auto requested_at = boot_time();
         const auto page = co_await self.log_.read_from_(next, poll_timeout);
         update_reachability(self, page.reached_);
@@ -114,12 +197,14 @@
             apply_page(self, page, requested_at, poll_timeout);
             next = page.next_;
             backoff = initial_backoff;
+            self.failed_transfers_ = 0;
         }
         if (!page.reached_ || is_behind_peers(state))
         {
+            self.failed_transfers_ = 0;
             // Either the log is unreachable, or another VM has a version that was appended after this VM's read.
             co_await sleep_for(backoff);
-            backoff = std::min(backoff * 2, max_backoff);
+            backoff = std::min(backoff * 2, longest_backoff(state));
         }
     }
 }
@@ -128,7 +213,7 @@
 
 task<> follow_table(gateway_state& state, record_log log, table_decoder decode)
 {
-    follower self{state, std::move(log), std::move(decode), false};
+    follower self{state, std::move(log), std::move(decode)};
     auto backoff = initial_backoff;
     while (true)
     {
@@ -138,7 +223,7 @@
         if (!full_read.reached_)
         {
             co_await sleep_for(backoff);
-            backoff = std::min(backoff * 2, max_backoff);
+            backoff = std::min(backoff * 2, longest_backoff(state));
             continue;
         }
         backoff = initial_backoff;
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -177,6 +177,7 @@
     message.set_incarnation(report.incarnation_.get());
     message.set_sequence(report.sequence_);
     message.set_address(report.address_.get());
+    message.set_data_centre(report.data_centre_.get());
     message.set_configuration_version(report.version_.get());
     message.set_leaving(report.leaving_);
     message.set_only_news(report.log_update_only_);
@@ -206,6 +207,27 @@
     return message.SerializeAsString();
 }
 
+std::string encode_document(const configuration_document& document)
+{
+    load::ConfigurationDocument message;
+    message.set_version(document.version_.get());
+    message.set_offset(document.offset_.get());
+    message.set_key(document.key_);
+    message.set_text(document.text_);
+    return message.SerializeAsString();
+}
+
+std::optional<configuration_document> decode_document(std::string_view bytes)
+{
+    load::ConfigurationDocument message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || message.text().empty())
+    {
+        return std::nullopt;
+    }
+    return configuration_document{configuration_version{message.version()}, log_offset{message.offset()}, message.key(),
+                                  message.text()};
+}
+
 std::optional<load_report> decode_load_report(std::string_view bytes, time_point now)
 {
     load::LoadReport message;
@@ -218,6 +240,7 @@
     report.incarnation_ = incarnation{message.incarnation()};
     report.sequence_ = message.sequence();
     report.address_ = socket_address{message.address()};
+    report.data_centre_ = data_centre_id{message.data_centre()};
     report.version_ = configuration_version{message.configuration_version()};
     report.leaving_ = message.leaving();
     report.log_update_only_ = message.only_news();
--- a/tests/decisions/log_update_test.cpp
+++ b/tests/decisions/log_update_test.cpp
@@ -38,22 +38,22 @@
                 apply_report(others, load, make_report(other, true), start);
             }
         }
-        positions.push_back(log_reader_position(others, vm_id{self}, silence_limit, start));
-        CHECK(log_reader_position(others, vm_id{self}, silence_limit, start + milliseconds{1500}) == 0);
+        positions.push_back(log_reader_position(others, vm_id{self}, true, silence_limit, start));
+        CHECK(log_reader_position(others, vm_id{self}, true, silence_limit, start + milliseconds{1500}) == 0);
     }
     std::ranges::sort(positions);
     CHECK(positions == std::vector<std::size_t>{0, 1, 2, 3});
     apply_report(peers, load, make_report("a", false), start);
-    CHECK(log_reader_position(peers, vm_id{"b"}, silence_limit, start) == 0);
+    CHECK(log_reader_position(peers, vm_id{"b"}, true, silence_limit, start) == 0);
 }
 
 // When the first readers are gone, the other VMs must read the log before their data is too old, and not all at once.
 TEST_CASE("poll delays increase with the position and stay below the tightest staleness bound")
 {
-    constexpr milliseconds tightest_bound{2000};
-    CHECK(log_poll_delay(0) < log_poll_delay(1));
-    CHECK(log_poll_delay(1) < log_poll_delay(2));
-    CHECK(log_poll_delay(100000) < tightest_bound);
+    const auto bound = GENERATE(milliseconds{2000}, milliseconds{3000}, milliseconds{4000});
+    CHECK(log_poll_delay(0, bound) < log_poll_delay(1, bound));
+    CHECK(log_poll_delay(1, bound) < log_poll_delay(2, bound));
+    CHECK(log_poll_delay(100000, bound) < bound);
 }
 
 TEST_CASE("parts of a log update are contiguous, and only the last one has the age of the server list")
