Order waiting requests, decide admission in one function, share engines among organisations

Cause: requests without a place polled every 100 ms in no order, each wait and refusal was decided in several places without a line that says why, refused callers were all told one of two constant times, organisations decided nothing, and a joint prefill gave up its held engines at nearly every poll. Change: wait queues woken by changes of capacity; decide_admission, goes_before and time_to_return as free functions; usage of engines by organisation from load reports; held engines are preferred; an engine's second costs in proportion to the busy engines.

--- a/packages/decisions/include/cornelstall/decisions/process/engine_simulation.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/engine_simulation.hpp
@@ -14,11 +14,15 @@
 namespace detail
 {
 struct execution_tag;
+struct organisation_hash_tag;
 }  // namespace detail
 
 /// @brief Identifies one execution of a request on a backend server; unique over all VMs while it runs.
 using execution_id = strong_number<detail::execution_tag, std::uint64_t>;
 
+/// @brief Names an organisation in load reports; 0 when a request has none.
+using organisation_hash = strong_number<detail::organisation_hash_tag, std::uint32_t>;
+
 /// @brief The remaining work of an engine for one request, derived from what VMs have sent and observed.
 struct engine_work
 {
@@ -38,6 +42,7 @@
     time_point arrived_;                ///< arrival of the request at its VM
     time_point sent_at_;                ///< the engine can start on it in passes that begin at this time or later
     double value_ = 1.0;                ///< weight of this request relative to others
+    organisation_hash organisation_;    ///< organisation of the caller
 };
 
 /// @brief The requests of one engine in order of arrival, simulated up to `simulated_until_`.
--- a/packages/decisions/src/request/joint_prefill.cpp
+++ b/packages/decisions/src/request/joint_prefill.cpp
@@ -27,7 +27,10 @@
 constexpr double cost_per_part = 0.1;
 /// Engines that become idle within the same interval of this length are equal; the forecast is no more exact.
 constexpr double idle_rounding_ms = 50.0;
-/// Request value that an engine would otherwise produce in a second.
+/// An engine that the request already holds is replaced only by one that is idle earlier by more than this. While it is
+/// held, its streams end and no others begin; an engine chosen anew would have to be emptied from the start.
+constexpr milliseconds hold_preference{500};
+/// Request value that an engine would otherwise produce in a second while all engines are busy.
 constexpr double cost_per_engine_second = 0.4;
 /// Fraction of a service's engines that stay idle for requests that arrive during a joint prefill.
 constexpr double idle_reserve_share = 0.15;
@@ -40,6 +43,7 @@
 {
     known_server* server_ = nullptr;
     milliseconds time_until_idle_{0};
+    milliseconds preferred_by_{0};  ///< taken off `time_until_idle_` when engines are compared
     milliseconds first_token_{0};  ///< time to first token of a part, from the start of its prefill
     std::uint64_t tie_break_ = 0;  ///< keeps VMs that decide at the same moment from choosing the same engines
     std::int64_t memory_ = 0;
@@ -66,6 +70,13 @@
     });
 }
 
+/// True when the placeholder @a hold_id keeps the engine free.
+bool holds(const engine_simulation& engine, execution_id hold_id)
+{
+    return std::ranges::any_of(engine.work_,
+                               [hold_id](const engine_work& entry) { return entry.key_ == hold_id; });
+}
+
 /// The expected value of @a work when its first token arrives @a first_token from now.
 double value_at(const engine_work& work, milliseconds first_token, time_point now)
 {
@@ -107,17 +118,22 @@
         const auto until_idle =
             is_idle(engine) ? milliseconds{0} : time_until_idle(engine, profile, server->slowdown_, now);
         const auto prefill = forecast_placement({}, profile, server->slowdown_, part, now);
-        found.push_back({server, until_idle, prefill.first_token_,
-                         tie_breaker(server->listed_.id_, request.tie_break_seed_), plannable_memory(profile)});
+        found.push_back({server, until_idle, holds(engine, request.hold_id_) ? hold_preference : milliseconds{0},
+                         prefill.first_token_, tie_breaker(server->listed_.id_, request.tie_break_seed_), plannable_memory(profile)});
     });
     std::ranges::sort(found, {}, [](const candidate& entry) {
-        return std::tuple(std::ceil(static_cast<double>(entry.time_until_idle_.count()) / idle_rounding_ms),
-                          entry.first_token_, entry.tie_break_);
+        const auto until_idle = std::max(milliseconds{0}, entry.time_until_idle_ - entry.preferred_by_);
+        return std::tuple(std::ceil(static_cast<double>(until_idle.count()) / idle_rounding_ms),
+                          entry.preferred_by_.count() == 0, entry.first_token_, entry.tie_break_);
     });
-    const auto idle = std::ranges::count(found, milliseconds{0}, &candidate::time_until_idle_);
+    const auto is_free = [](const candidate& entry) {
+        return entry.preferred_by_.count() == 0 && entry.time_until_idle_.count() == 0;
+    };
+    const auto free = std::ranges::count_if(found, is_free);
     const auto kept =
-        std::min(idle, static_cast<std::ptrdiff_t>(idle_reserve_share * static_cast<double>(servers.size())));
-    found.erase(found.begin() + (idle - kept), found.begin() + idle);
+        std::min(free, static_cast<std::ptrdiff_t>(idle_reserve_share * static_cast<double>(servers.size())));
+    std::ptrdiff_t seen = 0;
+    std::erase_if(found, [&](const candidate& entry) { return is_free(entry) && ++seen > free - kept; });
     return found;
 }
 
@@ -159,13 +175,21 @@
     const auto servers = candidate_servers(directory, request, now);
     const auto taken = std::ranges::count_if(servers, [&](const known_server* server) {
         auto& engine = load.engines_[server->listed_.id_];
-        const bool own = std::ranges::any_of(
-            engine.work_, [&request](const engine_work& entry) { return entry.key_ == request.hold_id_; });
-        return !own && serves_joint_prefill(engine);
+        return !holds(engine, request.hold_id_) && serves_joint_prefill(engine);
     });
     return taken == 0 || static_cast<double>(taken + parts) <= max_joint_share * static_cast<double>(servers.size());
 }
 
+/// The share of the engines that are not idle. While engines are idle, a long prefill costs other requests little.
+double busy_share(server_directory& directory, fleet_load& load, const choice_request& request, time_point now)
+{
+    const auto servers = candidate_servers(directory, request, now);
+    const auto busy = std::ranges::count_if(servers, [&load](const known_server* server) {
+        return !is_idle(load.engines_[server->listed_.id_]);
+    });
+    return servers.empty() ? 1.0 : static_cast<double>(busy) / static_cast<double>(servers.size());
+}
+
 std::optional<joint_prefill> plan_joint_prefill(server_directory& directory, fleet_load& load,
                                                 const service_description& service, const choice_request& request,
                                                 int parts, time_point now)
@@ -190,8 +214,9 @@
         single_engine_prefill_ms(*service.engine_, request.work_.prompt_) + static_cast<double>(waiting.count());
     joint_prefill result{std::move(*placed), {}, start};
     result.forecast_.first_token_ = start + prefill;
+    const double busy = busy_share(directory, load, request, now);
     result.forecast_.benefit_ = value_at(request.work_, start + prefill, now) - cost_per_part * parts -
-                                cost_per_engine_second * engine_ms / ms_per_s;
+                                cost_per_engine_second * busy * engine_ms / ms_per_s;
     return result;
 }
 
--- a/packages/gateway/include/cornelstall/gateway.hpp
+++ b/packages/gateway/include/cornelstall/gateway.hpp
@@ -17,6 +17,7 @@
 #include "cornelstall/gateway/process/record_log.hpp"
 #include "cornelstall/gateway/process/server_list.hpp"
 #include "cornelstall/gateway/process/server_notices.hpp"
+#include "cornelstall/gateway/process/wait_queue.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
 #include "cornelstall/gateway/request/memory_lease.hpp"
 #include "cornelstall/gateway/request/protocol.hpp"
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -9,6 +9,7 @@
 #include "cornelstall/gateway/process/buffer_budget.hpp"
 #include "cornelstall/gateway/process/gateway_settings.hpp"
 #include "cornelstall/gateway/process/server_list.hpp"
+#include "cornelstall/gateway/process/wait_queue.hpp"
 #include "cornelstall/gateway/request/protocol.hpp"
 #include "cornelstall/runtime/process/log_event.hpp"
 #include "cornelstall/runtime/process/metrics.hpp"
@@ -39,6 +40,7 @@
     fleet_load fleet_load_;
     vm_peers peers_;
     shared_retry_budget retry_budget_;
+    wait_queues wait_queues_;
 
     time_point started_at_ = std::chrono::steady_clock::now();
     incarnation incarnation_;
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -166,6 +166,10 @@
     }
     const bool is_known = state.peers_.peers_.contains(report->vm_);
     const bool is_newer = apply_report(state.peers_, state.fleet_load_, *report, now);
+    if (is_newer && !report->log_update_only_)
+    {
+        notify_capacity_changed(state.wait_queues_);
+    }
     if (is_newer && !may_be_stale(state))
     {
         apply_log_update(state, report->log_update_, report->version_);
--- a/packages/gateway/src/process/gateway_state.cpp
+++ b/packages/gateway/src/process/gateway_state.cpp
@@ -35,6 +35,7 @@
       protocol_(std::move(protocol)),
       executor_(std::move(io_executor)),
       random_(std::random_device{}()),
+      wait_queues_(executor_),
       incarnation_(make_incarnation())
 {
     retry_budget_.bound_ = settings_.retry_budget_;
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -56,6 +56,7 @@
         return;
     }
     state.server_list_.changes_.push_back({std::chrono::steady_clock::now(), change});
+    notify_capacity_changed(state.wait_queues_);
     log_event(severity::info, server_listed,
               change.server_.state_ == server_state::ready ? "server listed as ready" : "server listed as draining",
               {{"server", change.server_.id_.get()},
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -20,10 +20,8 @@
 constexpr event_kind answered_by_gateway{1021, "request_answered_by_vm"};
 constexpr event_kind request_served{1022, "request_served"};
 
-/// A caller that retries sooner would most likely be refused again.
-constexpr milliseconds default_retry_after{300};
-/// Engines without room for a long prompt are usually busy for this long with prefills of other long prompts.
-constexpr milliseconds long_prompt_retry_after{2500};
+/// Prompts of routes with a longer latency target keep engines busy for seconds.
+constexpr milliseconds long_prompt_target{2500};
 /// A VM without a current configuration needs about this long to read it.
 constexpr milliseconds configuration_retry_after{1000};
 /// A process reads its configuration within this time after its start, even when all VMs start at once. Requests that
@@ -39,17 +37,21 @@
 }
 
 /// The time after which the caller of a refused request should return.
-milliseconds time_to_return(const exchange& current)
+milliseconds return_time(exchange& current)
 {
-    const bool long_prompt = current.service_->engine_ && current.route_->latency_target_ > long_prompt_retry_after;
-    const auto usual = long_prompt ? long_prompt_retry_after : default_retry_after;
-    if (has_untried_server(current))
+    auto& state = current.state_;
+    return_facts facts;
+    facts.priority_ = current.priority_;
+    facts.long_prompt_ = current.service_->engine_ && current.route_->latency_target_ > long_prompt_target;
+    const auto queue = state.wait_queues_.queues_.find(current.service_->id_);
+    facts.waiting_ = queue == state.wait_queues_.queues_.end() ? 0 : queue->second.waiting_.size();
+    facts.time_left_ = remaining_time(current);
+    if (!has_untried_server(current))
     {
-        return usual;
+        facts.pause_ =
+            time_until_pause_ends(state.directory_, current.service_->id_, std::chrono::steady_clock::now());
     }
-    const auto pause =
-        time_until_pause_ends(current.state_.directory_, current.service_->id_, std::chrono::steady_clock::now());
-    return std::max(usual, pause.value_or(usual));
+    return time_to_return(facts, std::uniform_real_distribution<double>(0.0, 1.0)(state.random_));
 }
 
 /// Ends a request that no server has answered completely.
@@ -71,7 +73,7 @@
     if (current.possible_runs_ == 0)
     {
         const char* const reason = current.sends_ > 0 ? "servers_refused" : "no_server_free";
-        co_await send_gateway_answer(current, 503, reason, time_to_return(current));
+        co_await send_gateway_answer(current, 503, reason, return_time(current));
         co_return;
     }
     const bool timed_out = result == send_result::out_of_time;
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -15,6 +15,7 @@
 constexpr event_kind send_ended{1024, "send_ended"};
 constexpr event_kind engines_joined{1029, "engines_joined"};
 constexpr event_kind engines_claimed{1030, "engines_claimed"};
+constexpr event_kind request_waited{1031, "request_waited"};
 
 /// Sends allowed beyond the attempts of the route, because sends that servers refuse do not count as attempts.
 constexpr int additional_sends = 2;
@@ -23,10 +24,18 @@
 /// A request waits for at most this share of its latency target while no engine can take it or its cost to other
 /// requests exceeds its value. Then it is refused, because it would most likely miss the target.
 constexpr double placement_wait_share = 0.35;
-constexpr milliseconds placement_poll_interval{100};
-constexpr milliseconds min_poll_interval{10};
+/// Shortest and longest time after which a waiting request looks for a place again when no event has woken it: forecasts
+/// change as time passes.
+constexpr milliseconds min_recheck_delay{10};
+constexpr milliseconds max_recheck_delay{250};
+/// Requests that may wait at this VM for the places of one service; each holds its message in memory.
+constexpr std::size_t max_waiting = 500;
+/// Prompts of at least this length compete for idle engines, shorter ones for slots.
+constexpr token_count long_prompt{16'384};
 /// A joint prefill is considered when a single engine needs more than this share of the latency target.
 constexpr double single_engine_share = 0.5;
+/// Engines that may prefill one prompt together.
+constexpr std::size_t max_prefill_engines = 17;
 
 /// The server that a request is sent to and the parts of its work on each engine.
 struct send_plan
@@ -71,6 +80,10 @@
     work.arrived_ = current.arrived_;
     work.sent_at_ = std::chrono::steady_clock::now();
     work.value_ = request_value(work.prompt_, work.answer_left_);
+    if (current.organisation_)
+    {
+        work.organisation_ = hash_of(*current.organisation_);
+    }
     return work;
 }
 
@@ -99,6 +112,7 @@
             servers_, [this](const server_id& server) { remove_work(state_.fleet_load_.engines_[server], key_); });
         std::erase_if(state_.local_work_, [this](const reported_work& entry) { return entry.work_.key_ == key_; });
         state_.schedule_load_report_();
+        notify_capacity_changed(state_.wait_queues_);
     }
 
   private:
@@ -187,8 +201,10 @@
 }
 
 /// Plans a send to one engine or a joint prefill.
+/// @param min_benefit benefit that the plan must exceed
 /// @return nothing when no server can take the request, or when its cost to other requests exceeds its value
-std::optional<send_plan> plan_send(exchange& current, const engine_work& work, execution_id hold_id, time_point now)
+std::optional<send_plan> plan_send(exchange& current, const engine_work& work, execution_id hold_id, double min_benefit,
+                                   time_point now)
 {
     auto& state = current.state_;
     auto choice_input = make_choice_request(current);
@@ -206,14 +222,14 @@
             !too_large && choice.forecast_.fits_ ? std::optional(choice.forecast_.benefit_) : std::nullopt;
         auto joint = choose_joint_prefill(state.directory_, state.fleet_load_, *current.service_, choice_input,
                                           single_engine_benefit, now);
-        if (joint)
+        if (joint && (current.connected_sends_ > 0 || joint->forecast_.benefit_ >= min_benefit))
         {
             const auto server = joint->parts_.front().server_;
             return send_plan{server, joint->forecast_, choice.considered_, std::move(joint->parts_), joint->starts_in_};
         }
     }
     // A request that has reached a server is continued even when its cost to other requests exceeds its value.
-    if (too_large || (current.connected_sends_ == 0 && choice.forecast_.benefit_ < 0.0))
+    if (too_large || (current.connected_sends_ == 0 && choice.forecast_.benefit_ < min_benefit))
     {
         return std::nullopt;
     }
@@ -307,36 +323,134 @@
     co_return true;
 }
 
-/// Waits until engines can take the request. A request that has reached a server waits until its deadline, and a joint
-/// prefill while its engines become idle; any other request waits for a share of its latency target.
+/// Time to the first token if the engines were idle and all of them prefilled the prompt.
+milliseconds fastest_first_token(const exchange& current, const engine_work& work, std::size_t engines)
+{
+    if (!current.service_->engine_)
+    {
+        return milliseconds{0};
+    }
+    const auto parts = static_cast<double>(std::clamp<std::size_t>(engines, 1, max_prefill_engines));
+    return milliseconds{
+        static_cast<std::int64_t>(single_engine_prefill_ms(*current.service_->engine_, work.prompt_) / parts)};
+}
+
+milliseconds waited(const exchange& current, time_point now)
+{
+    return std::chrono::duration_cast<milliseconds>(now - current.arrived_);
+}
+
+/// How the engines are used from the point of view of the request's organisation.
+organisation_usage current_usage(const exchange& current, const std::vector<known_server*>& candidates,
+                                 const engine_work& work)
+{
+    return current.service_->engine_
+               ? usage_of(current.state_.fleet_load_, candidates, *current.service_->engine_, work.organisation_)
+               : organisation_usage{};
+}
+
+waiting_order order_of(const exchange& current, const engine_work& work, const organisation_usage& usage)
+{
+    waiting_order order;
+    order.priority_ = current.priority_;
+    order.due_at_ = current.arrived_ + current.route_->latency_target_;
+    order.value_ = work.value_;
+    order.long_prompt_ = work.prompt_ >= long_prompt;
+    order.share_of_fair_ = usage.share_of_fair_;
+    return order;
+}
+
+/// The plan for a request and what was decided about it.
+struct planned_step
+{
+    std::optional<send_plan> plan_;
+    admission_decision decision_;
+    admission_facts facts_;
+    organisation_usage usage_;
+    waiting_order order_;
+};
+
+planned_step plan_step(exchange& current, const engine_hold& hold, const queue_place& place, time_point now)
+{
+    planned_step step;
+    const auto work = make_engine_work(current);
+    const auto candidates = candidate_servers(current.state_.directory_, make_choice_request(current), now);
+    step.usage_ = current_usage(current, candidates, work);
+    step.order_ = order_of(current, work, step.usage_);
+    step.plan_ = plan_send(current, work, hold.key_, min_benefit_share(step.usage_) * work.value_, now);
+    auto& facts = step.facts_;
+    facts.waited_ = waited(current, now);
+    facts.time_left_ = remaining_time(current);
+    facts.max_wait_ = milliseconds{static_cast<std::int64_t>(
+        static_cast<double>(current.route_->latency_target_.count()) * placement_wait_share)};
+    facts.abandon_after_ = work.abandon_after_;
+    facts.fastest_first_token_ = fastest_first_token(current, work, candidates.size());
+    facts.caller_left_ = current.watch_->disconnected_;
+    facts.reached_server_ = current.connected_sends_ > 0;
+    facts.queue_full_ = place.others_waiting() >= max_waiting;
+    facts.has_candidate_ = !candidates.empty();
+    facts.has_place_ = step.plan_.has_value();
+    facts.more_urgent_waits_ = place.is_behind(step.order_, now);
+    facts.starts_in_ = step.plan_ ? step.plan_->starts_in_ : milliseconds{0};
+    step.decision_ = decide_admission(facts);
+    return step;
+}
+
+void log_wait(const exchange& current, const planned_step& step, const queue_place& place)
+{
+    const auto list_age =
+        std::chrono::duration_cast<milliseconds>(boot_time() - current.state_.server_list_.confirmed_at_);
+    log_event(severity::info, request_waited, step.decision_.reason_,
+              {{"request", current.parsed_request_.id_.get()},
+               {"action", step.decision_.action_ == admission_action::send ? "send" : "refuse"},
+               {"waited_ms", std::to_string(step.facts_.waited_.count())},
+               {"time_left_ms", std::to_string(step.facts_.time_left_.count())},
+               {"fastest_ms", std::to_string(step.facts_.fastest_first_token_.count())},
+               {"others_waiting", std::to_string(place.others_waiting())},
+               {"slots_used", std::to_string(step.usage_.slots_used_share_)},
+               {"organisation_share", std::to_string(step.usage_.share_of_fair_)},
+               {"list_age_ms", std::to_string(list_age.count())}});
+}
+
+/// Time after which the request looks for a place again unless an event wakes it before.
+milliseconds recheck_delay(const planned_step& step)
+{
+    const auto& facts = step.facts_;
+    auto delay = facts.has_place_ && facts.starts_in_.count() > 0 ? facts.starts_in_ : max_recheck_delay;
+    if (!facts.reached_server_ && facts.waited_ < facts.max_wait_)
+    {
+        delay = std::min(delay, facts.max_wait_ - facts.waited_);
+    }
+    return std::clamp(std::min(delay, facts.time_left_), min_recheck_delay, max_recheck_delay);
+}
+
+/// Waits until engines can take the request, in the order of the wait queue.
 /// @return the plan, or nothing when the request is to be refused
 task<std::optional<send_plan>> wait_for_plan(exchange& current, engine_hold& hold)
 {
-    const auto max_wait =
-        std::chrono::duration_cast<time_point::duration>(current.route_->latency_target_ * placement_wait_share);
-    const auto wait_until = current.connected_sends_ > 0 ? current.deadline_ : current.arrived_ + max_wait;
+    queue_place place(current.state_.wait_queues_, current.service_->id_);
+    bool has_waited = false;
     while (true)
     {
-        const auto now = std::chrono::steady_clock::now();
-        const auto work = make_engine_work(current);
-        auto plan = plan_send(current, work, hold.key_, now);
-        const bool must_wait = plan && plan->starts_in_.count() > 0;
-        const bool must_stop =
-            now >= current.deadline_ || current.watch_->disconnected_ || !has_untried_server(current);
-        if ((plan && !must_wait) || must_stop || (!plan && now >= wait_until))
+        auto step = plan_step(current, hold, place, std::chrono::steady_clock::now());
+        if (step.decision_.action_ != admission_action::wait)
         {
-            co_return must_wait ? std::nullopt : std::move(plan);
+            if (has_waited || step.decision_.action_ == admission_action::refuse)
+            {
+                log_wait(current, step, place);
+            }
+            co_return step.decision_.action_ == admission_action::send ? std::move(step.plan_) : std::nullopt;
         }
-        if (must_wait)
+        if (step.facts_.starts_in_.count() > 0)
         {
-            hold_engines(current, hold, *plan);
+            hold_engines(current, hold, *step.plan_);
         }
         else
         {
             hold.release();
         }
-        co_await sleep_for(must_wait ? std::clamp(plan->starts_in_, min_poll_interval, placement_poll_interval)
-                                     : placement_poll_interval);
+        has_waited = true;
+        co_await place.wait(current.state_.executor_, step.order_, recheck_delay(step));
     }
 }
 
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -13,7 +13,7 @@
 {
 
 /// Encoded size of one entry at most; keeps a report within one datagram without encoding it twice.
-constexpr std::size_t entry_bytes = 42;
+constexpr std::size_t entry_bytes = 47;
 /// What a part of a joint prompt takes more.
 constexpr std::size_t part_bytes = 12;
 /// Counts above these are read as these, so that a malformed report cannot overflow a sum or keep a forecast busy.
@@ -55,6 +55,7 @@
     message.set_max_gap_ms(static_cast<std::uint32_t>(work.max_gap_.count()));
     message.set_late(work.late_);
     message.set_claims(work.holds_engine_);
+    message.set_organisation(work.organisation_.get());
     if (work.joint_prompt_.get() > 0)
     {
         message.set_joint_prompt_tokens(static_cast<std::uint32_t>(work.joint_prompt_.get()));
@@ -78,6 +79,7 @@
     work.max_gap_ = std::max(milliseconds{1}, decode_time(message.max_gap_ms()));
     work.abandon_after_ = abandon_timeout(work.target_, work.max_gap_);
     work.late_ = message.late();
+    work.organisation_ = organisation_hash{message.organisation()};
     work.arrived_ = now - decode_time(message.age_ms());
     work.sent_at_ = now;
     work.value_ = request_value(work.prompt_, work.answer_left_);
