--- a/packages/decisions/include/cornelstall/decisions/request/admission.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/admission.hpp
@@ -22,18 +22,18 @@
 /// @brief The facts that decide on a request.
 struct admission_facts
 {
-    milliseconds waited_{0};        ///< since its arrival
-    milliseconds time_left_{0};     ///< until its deadline
-    milliseconds max_wait_{0};      ///< longest wait for a place
+    milliseconds waited_{0};         ///< since its arrival
+    milliseconds time_left_{0};      ///< until its deadline
+    milliseconds max_wait_{0};       ///< longest wait for a place
     milliseconds abandon_after_{0};  ///< the caller abandons a request without an answer this long after its arrival
     milliseconds fastest_first_token_{0};  ///< time to the first token on idle engines
     bool caller_left_ = false;
-    bool reached_server_ = false;  ///< a server has had the request; it is continued rather than refused
-    bool queue_full_ = false;      ///< no more requests may wait
-    bool has_candidate_ = false;   ///< a server that has not been tried accepts work
-    bool has_place_ = false;       ///< a plan is worth more than it costs other requests
-    bool more_urgent_waits_ = false;      ///< a request of the same size that goes before this one waits, too
-    milliseconds starts_in_{0};           ///< time until the engines of the plan are idle
+    bool reached_server_ = false;     ///< a server has had the request; it is continued rather than refused
+    bool queue_full_ = false;         ///< no more requests may wait
+    bool has_candidate_ = false;      ///< a server that has not been tried accepts work
+    bool has_place_ = false;          ///< a plan is worth more than it costs other requests
+    bool more_urgent_waits_ = false;  ///< a request of the same size that goes before this one waits, too
+    milliseconds starts_in_{0};       ///< time until the engines of the plan are idle
 };
 
 /// @brief A decision and the id of its reason.
@@ -49,9 +49,9 @@
 /// @brief The order of requests that wait for a place of the same service.
 struct waiting_order
 {
-    int priority_ = 0;       ///< 0 is the most urgent
-    time_point due_at_;      ///< when its first token is due
-    double value_ = 0.0;     ///< as of request_value()
+    int priority_ = 0;    ///< 0 is the most urgent
+    time_point due_at_;   ///< when its first token is due
+    double value_ = 0.0;  ///< as of request_value()
     bool long_prompt_ = false;
     double share_of_fair_ = 0.0;  ///< how much of an equal share its organisation uses
 };
@@ -64,10 +64,10 @@
 /// @brief What decides when a refused caller should return.
 struct return_facts
 {
-    int priority_ = 0;                ///< 0 is the most urgent
-    bool long_prompt_ = false;        ///< engines stay busy with long prompts for seconds
-    std::size_t waiting_ = 0;         ///< requests that wait for the same service at this VM
-    milliseconds time_left_{0};       ///< of the caller
+    int priority_ = 0;                   ///< 0 is the most urgent
+    bool long_prompt_ = false;           ///< engines stay busy with long prompts for seconds
+    std::size_t waiting_ = 0;            ///< requests that wait for the same service at this VM
+    milliseconds time_left_{0};          ///< of the caller
     std::optional<milliseconds> pause_;  ///< until the first server accepts work again, when none does
 };
 
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -134,8 +134,8 @@
     };
     return static_cast<std::size_t>(std::ranges::count_if(peers.peers_, [&](const auto& entry) {
         const auto& peer = entry.second;
-        const bool comes_first = peer.log_reachable_ == reachable ? position_hash(entry.first) < position_hash(self)
-                                                                  : peer.log_reachable_;
+        const bool comes_first =
+            peer.log_reachable_ == reachable ? position_hash(entry.first) < position_hash(self) : peer.log_reachable_;
         return now - peer.heard_at_ < limit && comes_first;
     }));
 }
--- a/packages/decisions/src/request/joint_prefill.cpp
+++ b/packages/decisions/src/request/joint_prefill.cpp
@@ -44,8 +44,8 @@
     known_server* server_ = nullptr;
     milliseconds time_until_idle_{0};
     milliseconds preferred_by_{0};  ///< taken off `time_until_idle_` when engines are compared
-    milliseconds first_token_{0};  ///< time to first token of a part, from the start of its prefill
-    std::uint64_t tie_break_ = 0;  ///< keeps VMs that decide at the same moment from choosing the same engines
+    milliseconds first_token_{0};   ///< time to first token of a part, from the start of its prefill
+    std::uint64_t tie_break_ = 0;   ///< keeps VMs that decide at the same moment from choosing the same engines
     std::int64_t memory_ = 0;
 };
 
@@ -73,8 +73,7 @@
 /// True when the placeholder @a hold_id keeps the engine free.
 bool holds(const engine_simulation& engine, execution_id hold_id)
 {
-    return std::ranges::any_of(engine.work_,
-                               [hold_id](const engine_work& entry) { return entry.key_ == hold_id; });
+    return std::ranges::any_of(engine.work_, [hold_id](const engine_work& entry) { return entry.key_ == hold_id; });
 }
 
 /// The expected value of @a work when its first token arrives @a first_token from now.
@@ -119,7 +118,8 @@
             is_idle(engine) ? milliseconds{0} : time_until_idle(engine, profile, server->slowdown_, now);
         const auto prefill = forecast_placement({}, profile, server->slowdown_, part, now);
         found.push_back({server, until_idle, holds(engine, request.hold_id_) ? hold_preference : milliseconds{0},
-                         prefill.first_token_, tie_breaker(server->listed_.id_, request.tie_break_seed_), plannable_memory(profile)});
+                         prefill.first_token_, tie_breaker(server->listed_.id_, request.tie_break_seed_),
+                         plannable_memory(profile)});
     });
     std::ranges::sort(found, {}, [](const candidate& entry) {
         const auto until_idle = std::max(milliseconds{0}, entry.time_until_idle_ - entry.preferred_by_);
@@ -184,9 +184,8 @@
 double busy_share(server_directory& directory, fleet_load& load, const choice_request& request, time_point now)
 {
     const auto servers = candidate_servers(directory, request, now);
-    const auto busy = std::ranges::count_if(servers, [&load](const known_server* server) {
-        return !is_idle(load.engines_[server->listed_.id_]);
-    });
+    const auto busy = std::ranges::count_if(
+        servers, [&load](const known_server* server) { return !is_idle(load.engines_[server->listed_.id_]); });
     return servers.empty() ? 1.0 : static_cast<double>(busy) / static_cast<double>(servers.size());
 }
 
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -30,11 +30,14 @@
     std::mt19937_64 random_;
 
     std::shared_ptr<const routing_table> table_;      ///< active version; null until one has been read
-    configuration_document table_document_;  ///< the document that the active table was decoded from
-    transfer_budget document_transfers_;     ///< documents sent to other VMs
+    configuration_document table_document_;           ///< the document that the active table was decoded from
+    transfer_budget document_transfers_;              ///< documents sent to other VMs
     std::chrono::nanoseconds table_confirmed_at_{0};  ///< boot time at which the table was last known to be the newest
     std::chrono::nanoseconds table_read_at_{0};       ///< boot time of this VM's last read of the configuration log
-    bool server_list_reachable_ = false;              ///< the last read of the server list succeeded
+    /// Like `table_confirmed_at_`, from this VM's own reads only. Reports carry this one: two VMs that passed on each
+    /// other's confirmations would keep them young, because each report is a little older than it says.
+    std::chrono::nanoseconds table_own_confirmed_at_{0};
+    bool server_list_reachable_ = false;  ///< the last read of the server list succeeded
     server_list server_list_;
     server_directory directory_;
     fleet_load fleet_load_;
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -23,12 +23,13 @@
 /// @brief What this VM knows of the platform's server list from its own reads and from other VMs.
 struct server_list
 {
-    bool listed_ = false;                       ///< the full list has been read once
-    log_offset next_;                           ///< one past the last known offset
-    std::chrono::nanoseconds confirmed_at_{0};  ///< boot time at which the list was last known to be up to date
-    std::chrono::nanoseconds read_at_{0};       ///< boot time of this VM's last read of the log
-    log_offset changes_begin_;                  ///< `changes_` is complete from here to `next_`
-    std::deque<recent_change> changes_;         ///< recent changes, for VMs that lack them
+    bool listed_ = false;                           ///< the full list has been read once
+    log_offset next_;                               ///< one past the last known offset
+    std::chrono::nanoseconds confirmed_at_{0};      ///< boot time at which the list was last known to be up to date
+    std::chrono::nanoseconds read_at_{0};           ///< boot time of this VM's last read of the log
+    std::chrono::nanoseconds own_confirmed_at_{0};  ///< like `confirmed_at_`, from own reads only; reports carry it
+    log_offset changes_begin_;                      ///< `changes_` is complete from here to `next_`
+    std::deque<recent_change> changes_;             ///< recent changes, for VMs that lack them
     time_point defer_removals_until_;  ///< until then a removal may be an entry that expired in an outage of the log
     std::map<server_id, log_offset> deferred_removals_;  ///< offsets of removals not applied yet
 };
@@ -52,6 +53,12 @@
 /// @brief Records that the list is known up to, but not including, @a next and was up to date at @a confirmed_at.
 void confirm_list(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at);
 
+/// @brief Records a confirmation, as confirm_list() does, by a read of this VM itself.
+void confirm_list_read(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at);
+
+/// @brief Records that a read of this VM itself confirmed the active routing table at @a confirmed_at.
+void confirm_table_read(gateway_state& state, std::chrono::nanoseconds confirmed_at);
+
 /// @brief Builds the log update that this VM sends to the other VMs, and drops changes past their retention time.
 [[nodiscard]] log_update make_log_update(gateway_state& state);
 
--- a/packages/gateway/include/cornelstall/gateway/process/wait_queue.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/wait_queue.hpp
@@ -58,8 +58,8 @@
     /// @brief Number of other requests that wait for the service.
     [[nodiscard]] std::size_t others_waiting() const;
 
-    /// @brief True when a request of the same size waits that goes before a request with @a order and has not looked for
-    /// a place since capacity changed.
+    /// @brief True when a request of the same size waits that goes before a request with @a order and has not looked
+    /// for a place since capacity changed.
     [[nodiscard]] bool is_behind(const waiting_order& order, time_point now) const;
 
     /// @brief Waits until capacity has changed and it is this request's turn, or for @a limit.
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -148,8 +148,7 @@
         co_return false;
     }
     std::ranges::for_each(page.records_, [&self](const keyed_record& record) { apply_record(self, record); });
-    list.read_at_ = boot_time();
-    confirm_list(self.state_, page.next_, requested_at);
+    confirm_list_read(self.state_, page.next_, requested_at);
     apply_deferred_removals(self.state_);
     self.state_.schedule_load_report_();
     co_return true;
@@ -166,8 +165,7 @@
         const auto requested_at = boot_time();
         const auto full_read = co_await read_full_list(self);
         apply_full_read(self, full_read);
-        list.read_at_ = boot_time();
-        confirm_list(state, full_read.next_, requested_at);
+        confirm_list_read(state, full_read.next_, requested_at);
         bool can_read_changes = true;
         while (can_read_changes)
         {
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <ranges>
 
+#include "cornelstall/gateway/connection/backend_socket.hpp"
 #include "cornelstall/gateway/process/gateway_state.hpp"
 
 namespace cornelstall
@@ -73,6 +74,14 @@
     }
 }
 
+/// True when a change that another VM sent can be applied; that VM may run a release that accepted an odd entry.
+bool is_usable(const server_list_change& change)
+{
+    const auto endpoint = parse_endpoint(change.server_.address_.get());
+    return !change.server_.id_.empty() &&
+           (change.removed_ || (endpoint && endpoint->port() != 0 && change.server_.slots_ > 0));
+}
+
 milliseconds age_of(std::chrono::nanoseconds boot_timestamp)
 {
     return std::chrono::duration_cast<milliseconds>(boot_time() - boot_timestamp);
@@ -151,6 +160,20 @@
     state.server_list_.confirmed_at_ = std::max(state.server_list_.confirmed_at_, confirmed_at);
 }
 
+void confirm_list_read(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at)
+{
+    confirm_list(state, next, confirmed_at);
+    state.server_list_.read_at_ = boot_time();
+    state.server_list_.own_confirmed_at_ = std::max(state.server_list_.own_confirmed_at_, confirmed_at);
+}
+
+void confirm_table_read(gateway_state& state, std::chrono::nanoseconds confirmed_at)
+{
+    state.table_read_at_ = boot_time();
+    state.table_confirmed_at_ = std::max(state.table_confirmed_at_, confirmed_at);
+    state.table_own_confirmed_at_ = std::max(state.table_own_confirmed_at_, confirmed_at);
+}
+
 log_update make_log_update(gateway_state& state)
 {
     auto& list = state.server_list_;
@@ -161,11 +184,11 @@
     update.server_list_end_ = list.listed_ ? list.next_ : log_offset{0};
     if (state.table_ && age_of(state.table_read_at_) < max_own_read_age)
     {
-        update.routing_table_age_ = age_of(state.table_confirmed_at_);
+        update.routing_table_age_ = age_of(state.table_own_confirmed_at_);
     }
     if (list.listed_ && age_of(list.read_at_) < max_own_read_age)
     {
-        update.server_list_age_ = age_of(list.confirmed_at_);
+        update.server_list_age_ = age_of(list.own_confirmed_at_);
         update.changes_begin_ = list.changes_begin_;
         update.changes_end_ = list.next_;
         std::ranges::transform(list.changes_, std::back_inserter(update.changes_), &recent_change::change_);
@@ -191,7 +214,7 @@
         return;
     }
     std::ranges::for_each(update.changes_, [&state, known_end = list.next_](const server_list_change& change) {
-        if (change.at_ >= known_end)
+        if (change.at_ >= known_end && is_usable(change))
         {
             apply_change(state, change);
         }
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -48,8 +48,7 @@
     facts.time_left_ = remaining_time(current);
     if (!has_untried_server(current))
     {
-        facts.pause_ =
-            time_until_pause_ends(state.directory_, current.service_->id_, std::chrono::steady_clock::now());
+        facts.pause_ = time_until_pause_ends(state.directory_, current.service_->id_, std::chrono::steady_clock::now());
     }
     return time_to_return(facts, std::uniform_real_distribution<double>(0.0, 1.0)(state.random_));
 }
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -24,8 +24,8 @@
 /// A request waits for at most this share of its latency target while no engine can take it or its cost to other
 /// requests exceeds its value. Then it is refused, because it would most likely miss the target.
 constexpr double placement_wait_share = 0.35;
-/// Shortest and longest time after which a waiting request looks for a place again when no event has woken it: forecasts
-/// change as time passes.
+/// Shortest and longest time after which a waiting request looks for a place again when no event has woken it:
+/// forecasts change as time passes.
 constexpr milliseconds min_recheck_delay{10};
 constexpr milliseconds max_recheck_delay{250};
 /// Requests that may wait at this VM for the places of one service; each holds its message in memory.
@@ -381,8 +381,8 @@
     auto& facts = step.facts_;
     facts.waited_ = waited(current, now);
     facts.time_left_ = remaining_time(current);
-    facts.max_wait_ = milliseconds{static_cast<std::int64_t>(
-        static_cast<double>(current.route_->latency_target_.count()) * placement_wait_share)};
+    facts.max_wait_ = milliseconds{
+        static_cast<std::int64_t>(static_cast<double>(current.route_->latency_target_.count()) * placement_wait_share)};
     facts.abandon_after_ = work.abandon_after_;
     facts.fastest_first_token_ = fastest_first_token(current, work, candidates.size());
     facts.caller_left_ = current.watch_->disconnected_;
--- a/packages/gateway/src/version/follow_table.cpp
+++ b/packages/gateway/src/version/follow_table.cpp
@@ -126,8 +126,7 @@
     std::ranges::for_each(page.records_, [&self](const keyed_record& record) { apply_record(self, record); });
     // The log answers with an empty page only at the end of the wait, so the table was up to date at that time.
     const auto confirmed = page.records_.empty() ? std::min(boot_time(), requested_at + poll_timeout) : requested_at;
-    state.table_confirmed_at_ = std::max(state.table_confirmed_at_, confirmed);
-    state.table_read_at_ = boot_time();
+    confirm_table_read(state, confirmed);
     if (!page.records_.empty())
     {
         state.schedule_load_report_();
@@ -228,8 +227,7 @@
         }
         backoff = initial_backoff;
         std::ranges::for_each(full_read.records_, [&self](const keyed_record& record) { apply_record(self, record); });
-        state.table_confirmed_at_ = std::max(state.table_confirmed_at_, requested_at);
-        state.table_read_at_ = boot_time();
+        confirm_table_read(state, requested_at);
         state.schedule_load_report_();
         co_await follow_changes(self, full_read.next_);
     }
--- a/tests/gateway/server_list_test.cpp
+++ b/tests/gateway/server_list_test.cpp
@@ -91,8 +91,7 @@
         apply_change(sender_state,
                      make_change("a" + std::to_string(index), server_count + index, server_state::draining));
     }
-    confirm_list(sender_state, log_offset{2 * server_count}, boot_time());
-    sender_state.server_list_.read_at_ = boot_time();
+    confirm_list_read(sender_state, log_offset{2 * server_count}, boot_time());
     for (const auto& part : split_log_update(make_log_update(sender_state), 12))
     {
         load_report report;
@@ -131,8 +130,7 @@
     auto& state = gateway.state_;
     apply_change(state, make_change("a", 1, server_state::ready));
     apply_change(state, make_change("b", 2, server_state::ready));
-    confirm_list(state, log_offset{3}, boot_time());
-    state.server_list_.read_at_ = boot_time();
+    confirm_list_read(state, log_offset{3}, boot_time());
     auto& lagging_vm = state.peers_.peers_[vm_id{"vm-2"}];
     lagging_vm.heard_at_ = std::chrono::steady_clock::now();
     lagging_vm.server_list_end_ = log_offset{3};
@@ -204,3 +202,40 @@
     apply_change(state, make_change("a", 2, server_state::ready, true));
     CHECK(state.directory_.servers_.empty());
 }
+
+TEST_CASE("a VM reports the age of its own reads, not of what other VMs have confirmed")
+{
+    // Two readers that passed on each other's confirmations kept them young while neither read the log: a request whose
+    // key had been taken away more than 5 s before was served.
+    gateway_fixture gateway;
+    auto& state = gateway.state_;
+    gateway.activate_route({});
+    state.server_list_.listed_ = true;
+    const auto read_at = boot_time() - milliseconds{1500};
+    confirm_table_read(state, read_at);
+    confirm_list_read(state, log_offset{5}, read_at);
+    log_update update = make_update(5, 5, {});
+    update.routing_table_age_ = milliseconds{10};
+    update.server_list_age_ = milliseconds{10};
+    apply_log_update(state, update, state.table_->version_);
+    CHECK_FALSE(is_read_due(state, state.table_confirmed_at_));
+    const auto reported = make_log_update(state);
+    REQUIRE(reported.routing_table_age_);
+    REQUIRE(reported.server_list_age_);
+    CHECK(*reported.routing_table_age_ >= milliseconds{1500});
+    CHECK(*reported.server_list_age_ >= milliseconds{1500});
+}
+
+TEST_CASE("a change from another VM whose address or slots are unusable is not applied, and the others are")
+{
+    gateway_fixture gateway;
+    auto& state = gateway.state_;
+    state.server_list_.next_ = log_offset{10};
+    auto no_port = make_change("a", 11, server_state::ready);
+    no_port.server_.address_ = socket_address{"127.0.0.1:0"};
+    auto no_slots = make_change("b", 12, server_state::ready);
+    no_slots.server_.slots_ = 0;
+    apply_log_update(state, make_update(10, 20, {no_port, no_slots, make_change("c", 13, server_state::ready)}), {});
+    CHECK(state.directory_.servers_.size() == 1);
+    CHECK(state.server_list_.next_ == log_offset{20});
+}
