--- a/soak/process/deployment.cpp
+++ b/soak/process/deployment.cpp
@@ -27,13 +27,14 @@
 constexpr int most_misses = 2;
 constexpr unsigned ok = 200;
 constexpr std::size_t length_bytes = 4;
+constexpr byte_count max_answer_bytes{4ULL * 1024 * 1024};
 constexpr std::array<call_kind, 4> kinds{call_kind::once, call_kind::repeatable, call_kind::stream,
                                          call_kind::resumable};
 
 task<client_response> call_once(deployment& all, socket_address address, std::string method, std::string target,
                                 std::string body)
 {
-    const auto client = std::make_shared<http_client>(http_client{all.executor_, address.get(), nullptr});
+    const http_client client{all.executor_, address.get(), max_answer_bytes};
     auto answer = co_await call(client, std::move(method), std::move(target), std::move(body),
                                 "application/octet-stream", call_limit);
     co_return answer;
