Follow the linter in the new tests

Change: a reserved vector, an explicit copy, emplace_back, raw strings; what is checked is unchanged.

--- a/tests/decisions/admission_test.cpp
+++ b/tests/decisions/admission_test.cpp
@@ -95,11 +95,13 @@
 {
     std::mt19937_64 random(7);
     std::uniform_real_distribution<double> draw(0.0, 1.0);
+    constexpr std::size_t callers = 200;
     std::vector<milliseconds> times;
+    times.reserve(callers);
     return_facts facts;
     facts.time_left_ = milliseconds{9000};
     facts.waiting_ = 4;
-    for (int caller = 0; caller < 200; ++caller)
+    for (std::size_t caller = 0; caller < callers; ++caller)
     {
         times.push_back(time_to_return(facts, draw(random)));
     }
--- a/tests/gateway/http_client_test.cpp
+++ b/tests/gateway/http_client_test.cpp
@@ -88,7 +88,7 @@
                       scripted_response{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;e=", false, filler},
                       scripted_response{"HTTP/1.1 200 OK\r\nX-Long: ", false, filler},
                       scripted_response{"HTTP/1.1 200 OK\r\nX-Slow: ", false, "x", milliseconds{100}});
-    const auto server = gateway.add_server([endless](const auto&) { return endless; });
+    const auto server = gateway.add_server([&endless](const auto&) { return scripted_response(endless); });
     std::optional<client_response> response;
     const auto call_once = [](http_client to, std::optional<client_response>& result) -> task<> {
         auto received = co_await call(to, "GET", "/", "", "", milliseconds{700});
--- a/tests/gateway/wait_queue_test.cpp
+++ b/tests/gateway/wait_queue_test.cpp
@@ -48,7 +48,7 @@
     const auto wait_twice = [](gateway_state& state, waiting_order order, std::vector<std::string>& names) -> task<> {
         queue_place place(state.wait_queues_, service_id{"s"});
         co_await place.wait(state.executor_, order, milliseconds{60'000});
-        names.push_back("looked");
+        names.emplace_back("looked");
         co_await place.wait(state.executor_, order, milliseconds{200});
     };
     spawn(gateway.state_.executor_, "urgent", wait_twice(gateway.state_, order_with(0, milliseconds{5000}), woken));
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -355,12 +355,12 @@
                                              ":",
                                              "null",
                                              "\xff",
-                                             "\"slots\":",
-                                             "\"born\":",
+                                             R"("slots":)",
+                                             R"("born":)",
                                              "\\u0000",
                                              "0",
                                              "65536",
-                                             "\"address\":\"1.2.3.4:0\""};
+                                             R"("address":"1.2.3.4:0")"};
     const auto mutate = [&](std::string text) {
         const auto changes = 1 + below(4);
         for (std::size_t change = 0; change < changes; ++change)
