--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -4,6 +4,7 @@
 
 #include "cornelstall/gateway/request/exchange.hpp"
 #include "cornelstall/gateway/request/memory_lease.hpp"
+#include "request/send_plan.hpp"
 
 namespace cornelstall
 {
@@ -14,7 +15,6 @@
 constexpr event_kind server_chosen{1023, "server_chosen"};
 constexpr event_kind send_ended{1024, "send_ended"};
 constexpr event_kind engines_joined{1029, "engines_joined"};
-constexpr event_kind engines_claimed{1030, "engines_claimed"};
 constexpr event_kind request_waited{1031, "request_waited"};
 
 /// Sends allowed beyond the attempts of the route, because sends that servers refuse do not count as attempts.
@@ -37,16 +37,6 @@
 /// Engines that may prefill one prompt together.
 constexpr std::size_t max_prefill_engines = 17;
 
-/// The server that a request is sent to and the parts of its work on each engine.
-struct send_plan
-{
-    listed_server server_;
-    placement_forecast forecast_;
-    std::size_t considered_ = 0;
-    std::vector<joint_prefill_part> parts_;  ///< the engine that generates the answer first, then its helpers
-    milliseconds starts_in_{0};              ///< time until all engines of a joint prefill are idle
-};
-
 /// Latest time for the first token, from the arrival of the request. A later one is useless: the caller has abandoned
 /// the request, or the answer cannot end before the deadline.
 milliseconds abandon_after(const exchange& current, const engine_work& work)
@@ -87,40 +77,6 @@
     return work;
 }
 
-/// Keeps the parts of a request in this VM's load and its load reports for the lifetime of the object.
-class load_registration
-{
-  public:
-    load_registration(gateway_state& state, const std::vector<joint_prefill_part>& parts, execution_id key)
-        : state_(state), key_(key)
-    {
-        const auto now = std::chrono::steady_clock::now();
-        std::ranges::for_each(parts, [&](const joint_prefill_part& part) {
-            add_work(state_.fleet_load_.engines_[part.server_.id_], part.work_, now);
-            state_.local_work_.push_back({part.server_.id_, part.work_});
-            servers_.push_back(part.server_.id_);
-        });
-        state_.schedule_load_report_();
-    }
-    load_registration(const load_registration&) = delete;
-    load_registration& operator=(const load_registration&) = delete;
-    load_registration(load_registration&&) = delete;
-    load_registration& operator=(load_registration&&) = delete;
-    ~load_registration()
-    {
-        std::ranges::for_each(
-            servers_, [this](const server_id& server) { remove_work(state_.fleet_load_.engines_[server], key_); });
-        std::erase_if(state_.local_work_, [this](const reported_work& entry) { return entry.work_.key_ == key_; });
-        state_.schedule_load_report_();
-        notify_capacity_changed(state_.wait_queues_);
-    }
-
-  private:
-    gateway_state& state_;
-    std::vector<server_id> servers_;
-    execution_id key_;
-};
-
 /// The memory reservations of one send; released by the destructor.
 class memory_reservations
 {
@@ -158,48 +114,6 @@
     return forecast.fits_ && static_cast<double>((elapsed + forecast.first_token_).count()) <= limit;
 }
 
-/// Keeps engines free for a joint prefill until all engines that it needs are idle.
-struct engine_hold
-{
-    execution_id key_;
-    std::vector<server_id> servers_;
-    std::optional<load_registration> registration_;  ///< reports the hold to the other VMs
-
-    void release()
-    {
-        registration_.reset();
-        servers_.clear();
-    }
-};
-
-/// Holds the engines of @a plan instead of those held before.
-void hold_engines(exchange& current, engine_hold& hold, const send_plan& plan)
-{
-    std::vector<server_id> servers;
-    std::ranges::transform(plan.parts_, std::back_inserter(servers),
-                           [](const joint_prefill_part& part) { return part.server_.id_; });
-    std::ranges::sort(servers);
-    if (servers == hold.servers_)
-    {
-        return;
-    }
-    engine_work hold_work;
-    hold_work.key_ = hold.key_;
-    hold_work.holds_engine_ = true;
-    hold_work.is_helper_ = true;
-    hold_work.value_ = 0.0;
-    hold_work.arrived_ = current.arrived_;
-    auto parts = plan.parts_;
-    std::ranges::for_each(parts, [&hold_work](joint_prefill_part& part) { part.work_ = hold_work; });
-    hold.release();
-    hold.registration_.emplace(current.state_, parts, hold.key_);
-    hold.servers_ = std::move(servers);
-    log_event(severity::info, engines_claimed, "engines are kept free for a joint prefill",
-              {{"request", current.parsed_request_.id_.get()},
-               {"engines", std::to_string(parts.size())},
-               {"starts_in_ms", std::to_string(plan.starts_in_.count())}});
-}
-
 /// Plans a send to one engine or a joint prefill.
 /// @param min_benefit benefit that the plan must exceed
 /// @return nothing when no server can take the request, or when its cost to other requests exceeds its value
