--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -84,6 +84,9 @@
 /// @brief Sends the request to one server after another until one answers or no further send is allowed.
 [[nodiscard]] task<send_result> try_servers(exchange& current);
 
+/// @brief The ids of @a parts in hexadecimal for log lines, at most the first eight.
+[[nodiscard]] std::string text_of(const std::vector<prompt_part_id>& parts);
+
 /// @brief Name of @a result in log lines and metrics.
 [[nodiscard]] const char* name_of(send_result result);
 
--- a/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
@@ -25,6 +25,8 @@
     std::optional<token_count> prompt_;  ///< length of the prompt; only in generation requests
     std::optional<token_count> max_output_tokens_;
     std::optional<token_count> expected_output_tokens_;
+    /// Parts of the prompt that other requests may have in common with this one, without repetition.
+    std::vector<prompt_part_id> shared_parts_;
     std::optional<std::uint64_t> resume_after_;  ///< id of the last event that the caller received
 };
 
--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -193,6 +193,7 @@
             timed_out ? "the request's time limit passed before the stream ended" : "the server's stream ended early",
             {{"request", current.parsed_request_.id_.get()},
              {"silent", server.expired_ ? "1" : "0"},
+             {"parts", text_of(current.parsed_request_.shared_parts_)},
              {"last_event", current.last_event_id_ ? std::to_string(*current.last_event_id_) : "none"}});
     }
     return result;
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <array>
+#include <ranges>
+#include <sstream>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/http/write.hpp>
@@ -175,6 +177,7 @@
                {"took_ms", text_of(duration)},
                {"first_ms", current.time_to_first_event_ ? text_of(*current.time_to_first_event_) : "none"},
                {"prompt", std::to_string(current.parsed_request_.prompt_.value_or(token_count{0}).get())},
+               {"parts", text_of(current.parsed_request_.shared_parts_)},
                {"late", current.late_ ? "1" : "0"},
                {"version", std::to_string(current.table_->version_.get())}});
 }
@@ -187,6 +190,16 @@
 
 }  // namespace
 
+std::string text_of(const std::vector<prompt_part_id>& parts)
+{
+    constexpr std::size_t max_logged = 8;
+    std::ostringstream text;
+    text << std::hex;
+    std::ranges::for_each(parts | std::views::take(max_logged),
+                          [&text](prompt_part_id part) { text << (text.tellp() > 0 ? "," : "") << part.get(); });
+    return parts.empty() ? "none" : text.str();
+}
+
 bool is_retry_safe(const exchange& current)
 {
     return current.route_->kind_ == request_kind::idempotent ||
--- a/packages/value/include/cornelstall/value/ids.hpp
+++ b/packages/value/include/cornelstall/value/ids.hpp
@@ -38,6 +38,8 @@
 struct fencing_tag;
 struct incarnation_tag;
 struct prefix_key_tag;
+struct prompt_part_tag;
+struct crash_tag;
 }  // namespace detail
 
 /// @brief A caller request; unique over all VMs.
@@ -100,5 +102,9 @@
 using incarnation = strong_number<detail::incarnation_tag, std::uint64_t>;
 /// @brief Chained hash of the first blocks of a prompt.
 using prefix_key = strong_number<detail::prefix_key_tag, std::uint64_t>;
+/// @brief A part of a prompt, such as a document, that several requests may have in common.
+using prompt_part_id = strong_number<detail::prompt_part_tag, std::uint64_t>;
+/// @brief A crash of a backend server: a hash of its id and of the lifetime that ended.
+using crash_id = strong_number<detail::crash_tag, std::uint32_t>;
 
 }  // namespace cornelstall
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -159,7 +159,9 @@
     message.set("Helpers", "10.0.0.1:80/t");
     message.set("Token-Counts", "1460,80");
     message.set("Deadline-Ms", "900");
+    message.set("Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,5c1e07a2:800,e4402b7d:250");
     const auto request = protocol.read_request_(message);
+    CHECK(request.shared_parts_ == std::vector{prompt_part_id{0x5c1e07a2}, prompt_part_id{0x91bd3f06}});
     CHECK(request.host_ == "h.example");
     CHECK(request.path_ == "/a/b");
     CHECK(request.key_ == "k1");
