Reproduce requests that crash one server after the other

Eight requests with one crashing part end 13 of 14 servers in the test; the rule allows eight ends. None of the four sound requests that share their other parts is served afterwards.

--- a/tests/gateway/fake_server.hpp
+++ b/tests/gateway/fake_server.hpp
@@ -22,6 +22,7 @@
     bool keep_open_ = false;  ///< wait for the gateway to close the connection after the bytes were sent
     std::string endless_{};   ///< sent again and again after the bytes until the gateway closes the connection
     milliseconds pause_{0};   ///< between two repetitions of `endless_`
+    bool crash_ = false;      ///< after the bytes were sent, close the connection and accept no others
 };
 
 /// @brief A backend server on the loopback interface that responds as a test's function says.
@@ -62,6 +63,11 @@
     const auto response = server->script_(message);
     co_await boost::asio::async_write(socket, boost::asio::buffer(response.bytes_),
                                       boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+    if (response.crash_)
+    {
+        server->acceptor_.close(failed);
+        co_return;
+    }
     while (!response.endless_.empty() && !failed)
     {
         co_await boost::asio::async_write(socket, boost::asio::buffer(response.endless_),
