Keep requests with a prompt part that crashes servers from all servers

Cause: a send that ended without an answer counted against the server alone. Nothing related two crashes to what was running there, and nothing that one VM saw of it left that VM.

Change: a lost send without a first event whose server then refuses connections is a crash, held against all shared parts of the prompt. An answer that begins refutes it. A part is blocked after three crashes in succession (each request sent after the crash before, so servers that fail together count once) unless another part explains them; repeats of a request end after two. VMs merge their evidence by datagrams, in the cell and to some VMs of the others. Requests with a blocked part get 503 at once. Blocked parts stay while such requests come; one VM lets one request through after 30 s, then after doubled times.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -23,6 +23,7 @@
 #include "cornelstall/decisions/process/reconcile.hpp"
 #include "cornelstall/decisions/process/server_directory.hpp"
 #include "cornelstall/decisions/process/shared_retry_budget.hpp"
+#include "cornelstall/decisions/process/suspect_parts.hpp"
 #include "cornelstall/decisions/request/admission.hpp"
 #include "cornelstall/decisions/request/joint_prefill.hpp"
 #include "cornelstall/decisions/request/placement.hpp"
--- a/packages/decisions/include/cornelstall/decisions/request/admission.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/admission.hpp
@@ -28,6 +28,7 @@
     milliseconds abandon_after_{0};  ///< the caller abandons a request without an answer this long after its arrival
     milliseconds fastest_first_token_{0};  ///< time to the first token on idle engines
     bool caller_left_ = false;
+    bool part_blocked_ = false;       ///< servers crash on a part of the prompt
     bool reached_server_ = false;     ///< a server has had the request; it is continued rather than refused
     bool queue_full_ = false;         ///< no more requests may wait
     bool has_candidate_ = false;      ///< a server that has not been tried accepts work
--- a/packages/decisions/src/request/admission.cpp
+++ b/packages/decisions/src/request/admission.cpp
@@ -44,6 +44,10 @@
     {
         return {refuse, "time_limit_passed"};
     }
+    if (facts.part_blocked_)
+    {
+        return {refuse, "prompt_part_blocked"};
+    }
     if (!facts.has_candidate_)
     {
         return {refuse, "no_server_left"};
--- a/packages/gateway/include/cornelstall/gateway/connection/backend_socket.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/backend_socket.hpp
@@ -13,6 +13,9 @@
 [[nodiscard]] task<std::shared_ptr<backend_socket>> connect_to(executor where, std::string address,
                                                                time_point deadline);
 
+/// @brief True when no process listens at @a address: the connection is refused before @a deadline.
+[[nodiscard]] task<bool> refuses_connections(executor where, std::string address, time_point deadline);
+
 /// @brief Parses an address of the form `IP:port`; host names are not resolved.
 /// @return nothing when @a address does not have that form
 [[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(const std::string& address);
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -53,6 +53,9 @@
     int sends_ = 0;                                    ///< attempts to send the request to a server
     int connected_sends_ = 0;                          ///< sends whose server accepted the connection
     int possible_runs_ = 0;                            ///< sends after which the server may have run the request
+    bool part_trial_ = false;                          ///< sent although a part of its prompt is blocked
+    bool lost_unanswered_ = false;                     ///< the last send lost its connection before the first event
+    bool server_crashed_ = false;                      ///< the server of the last send ended
     bool retry_reserved_ = false;                      ///< the next send has already been charged to the retry budget
     bool head_sent_ = false;                           ///< sending the head of the answer to the caller has begun
     bool keep_alive_ = true;                           ///< the caller's connection stays open for another request
@@ -84,9 +87,6 @@
 /// @brief Sends the request to one server after another until one answers or no further send is allowed.
 [[nodiscard]] task<send_result> try_servers(exchange& current);
 
-/// @brief The ids of @a parts in hexadecimal for log lines, at most the first eight.
-[[nodiscard]] std::string text_of(const std::vector<prompt_part_id>& parts);
-
 /// @brief Name of @a result in log lines and metrics.
 [[nodiscard]] const char* name_of(send_result result);
 
@@ -123,6 +123,9 @@
 /// @brief True when the request may be sent again after a server may have run it.
 [[nodiscard]] bool is_retry_safe(const exchange& current);
 
+/// @brief True when the request must not be sent because servers crash on a part of its prompt.
+[[nodiscard]] bool is_part_blocked(const exchange& current);
+
 /// @brief True when a send to an unresponsive server may be abandoned: the request is safe to repeat, an attempt is
 /// left, an untried server can be chosen, and the retry budget allows another send.
 [[nodiscard]] bool can_switch_server(const exchange& current);
--- a/packages/gateway/src/connection/deadline_socket.cpp
+++ b/packages/gateway/src/connection/deadline_socket.cpp
@@ -151,6 +151,21 @@
     co_return connection;
 }
 
+task<bool> refuses_connections(executor where, std::string address, time_point deadline)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint)
+    {
+        co_return false;
+    }
+    const auto connection = std::make_shared<backend_socket>(tcp::socket(where));
+    set_close_deadline(*connection, deadline);
+    boost::system::error_code failed;
+    co_await connection->socket_.async_connect(*endpoint,
+                                               boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+    co_return failed == boost::asio::error::connection_refused || failed == boost::asio::error::connection_reset;
+}
+
 tcp::acceptor listen_on(const executor& where, const std::string& address)
 {
     const auto endpoint = parse_endpoint(address);
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
+#include <ranges>
 
 #include <boost/asio/redirect_error.hpp>
 
 #include "cornelstall/gateway/connection/backend_socket.hpp"
+#include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/process/server_notices.hpp"
 #include "cornelstall/wire.hpp"
 
@@ -45,6 +48,14 @@
 constexpr std::chrono::seconds leaving_report_period{10};
 /// A leaving server takes about 30 bytes of a datagram.
 constexpr std::size_t max_leaving_servers = 8;
+/// Evidence about prompt parts is reported at once and then again at this interval while it is new.
+constexpr milliseconds part_report_interval{500};
+/// Evidence about one prompt part takes up to about 130 bytes of a datagram.
+constexpr std::size_t max_parts_per_datagram = 8;
+/// Evidence that does not fit is reported once that with more crashes has been.
+constexpr std::size_t max_parts_reported = 32;
+/// VMs of other cells that each report about prompt parts goes to. They pass on what is new to them.
+constexpr std::size_t other_cell_recipients = 4;
 constexpr std::size_t max_received_datagram_bytes = 65536;
 /// Requested size of the socket's receive buffer.
 constexpr int receive_buffer_bytes = 262144;
@@ -71,6 +82,16 @@
     return report;
 }
 
+void send_datagram(load_exchange& exchange, const std::string& bytes, const udp::endpoint& recipient)
+{
+    boost::system::error_code send_failed;
+    exchange.socket_.send_to(boost::asio::buffer(bytes), recipient, 0, send_failed);
+    if (send_failed)
+    {
+        exchange.state_.metrics_.count("gateway_load_reports_dropped_total");
+    }
+}
+
 /// Sends @a report to the VMs of this VM's cell for which @a is_recipient returns true. VMs that have been silent for
 /// too long are left out.
 void send_to_peers(load_exchange& exchange, const load_report& report, time_point now,
@@ -86,14 +107,53 @@
         {
             return;
         }
-        boost::system::error_code send_failed;
-        exchange.socket_.send_to(boost::asio::buffer(bytes), udp::endpoint(endpoint->address(), endpoint->port()), 0,
-                                 send_failed);
-        if (send_failed)
+        send_datagram(exchange, bytes, udp::endpoint(endpoint->address(), endpoint->port()));
+    });
+}
+
+/// Sends @a report to some VMs of other cells, chosen at random.
+void send_to_other_cells(load_exchange& exchange, const load_report& report, time_point now)
+{
+    auto& state = exchange.state_;
+    const auto partition = partition_fleet(known_vms(state.peers_));
+    const auto own_cell = cell_of(partition, report.vm_.get());
+    std::vector<udp::endpoint> others;
+    std::ranges::for_each(state.peers_.peers_, [&](const auto& entry) {
+        const auto endpoint = parse_endpoint(entry.second.address_.get());
+        if (endpoint && cell_of(partition, entry.first.get()) != own_cell)
         {
-            exchange.state_.metrics_.count("gateway_load_reports_dropped_total");
+            others.emplace_back(endpoint->address(), endpoint->port());
         }
     });
+    std::vector<udp::endpoint> recipients;
+    std::ranges::sample(others, std::back_inserter(recipients), other_cell_recipients, state.random_);
+    const auto bytes = encode_load_report(report, max_sent_datagram, now);
+    std::ranges::for_each(recipients,
+                          [&](const udp::endpoint& recipient) { send_datagram(exchange, bytes, recipient); });
+}
+
+/// Reports evidence about prompt parts: new evidence at once, and again at an interval because datagrams can be lost.
+void send_suspect_parts(load_exchange& exchange, time_point now)
+{
+    auto& state = exchange.state_;
+    if (!state.part_news_ && now - exchange.parts_sent_at_ < part_report_interval)
+    {
+        return;
+    }
+    auto parts = parts_to_report(state.suspect_parts_, now);
+    parts.resize(std::min(parts.size(), max_parts_reported));
+    state.part_news_ = false;
+    exchange.parts_sent_at_ = now;
+    for (std::size_t first = 0; first < parts.size(); first += max_parts_per_datagram)
+    {
+        auto report = make_report(exchange, {});
+        report.log_update_only_ = true;
+        report.leaving_servers_.clear();
+        std::ranges::copy(parts | std::views::drop(first) | std::views::take(max_parts_per_datagram),
+                          std::back_inserter(report.suspect_parts_));
+        send_to_peers(exchange, report, now, [](const vm_peer&) { return true; });
+        send_to_other_cells(exchange, report, now);
+    }
 }
 
 /// Sends the changes of the server list to the VMs that lack them: at once when there are new changes, otherwise again
@@ -117,6 +177,7 @@
 
 void report_to_peers(load_exchange& exchange, time_point now)
 {
+    send_suspect_parts(exchange, now);
     auto update = make_log_update(exchange.state_);
     send_changes(exchange, update, now);
     drop_changes_before(update, update.changes_end_);
@@ -164,6 +225,11 @@
         state.metrics_.count("gateway_load_reports_refused_total");
         return;
     }
+    if (!report->suspect_parts_.empty())
+    {
+        apply_reported_parts(state, report->vm_, report->suspect_parts_);
+        return;
+    }
     const bool is_known = state.peers_.peers_.contains(report->vm_);
     const bool is_newer = apply_report(state.peers_, state.fleet_load_, *report, now);
     if (is_newer && !report->log_update_only_)
@@ -229,6 +295,7 @@
         }
         detect_stall(exchange->state_);
         remove_silent_peer_load(*exchange, now);
+        drop_old_parts(exchange->state_);
         report_to_peers(*exchange, now);
         exchange->report_timer_.expires_at(now + report_interval);
     }
--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -1,6 +1,8 @@
 #include "cornelstall/gateway/process/gateway_process.hpp"
 
+#include <algorithm>
 #include <csignal>
+#include <ranges>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -8,6 +10,7 @@
 #include "cornelstall/gateway/connection/backend_socket.hpp"
 #include "cornelstall/gateway/connection/load_exchange.hpp"
 #include "cornelstall/gateway/connection/status_listener.hpp"
+#include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/version/follow_table.hpp"
 #include "cornelstall/wire.hpp"
 
@@ -35,6 +38,9 @@
 /// After the listening socket is closed, the first request of a new connection is awaited for this long.
 constexpr milliseconds first_request_wait{500};
 
+/// Page of the metrics listener with the prompt parts that are suspected of crashing servers.
+constexpr const char* prompt_parts_path = "/prompt-parts";
+
 struct listeners
 {
     tcp::acceptor callers_;
@@ -54,6 +60,9 @@
     state.metrics_.set("gateway_open_requests", {}, static_cast<double>(state.open_requests_));
     state.metrics_.set("gateway_servers", {}, static_cast<double>(state.directory_.servers_.size()));
     state.metrics_.set("gateway_peers", {}, static_cast<double>(state.peers_.peers_.size()));
+    const auto blocked =
+        std::ranges::count_if(state.suspect_parts_.parts_ | std::views::values, &suspect_part::blocked_);
+    state.metrics_.set("gateway_prompt_parts_blocked", {}, static_cast<double>(blocked));
     const double version = state.table_ ? static_cast<double>(state.table_->version_.get()) : 0.0;
     state.metrics_.set("gateway_routes_version", {}, version);
 }
@@ -77,6 +86,10 @@
     {
         return document_response(state);
     }
+    if (target == prompt_parts_path)
+    {
+        return {200, describe_parts(state)};
+    }
     update_gauges(state);
     return {200, state.metrics_.exposition()};
 }
--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
 
 namespace cornelstall
@@ -119,6 +120,7 @@
     const auto now = std::chrono::steady_clock::now();
     if (!current.time_to_first_event_)
     {
+        record_answer_begun(current.state_, current.parsed_request_.shared_parts_);
         current.time_to_first_event_ = std::chrono::duration_cast<milliseconds>(now - current.arrived_);
         current.late_ = *current.time_to_first_event_ > current.route_->latency_target_;
     }
@@ -185,6 +187,7 @@
 send_result record_cut_stream(exchange& current, const backend_socket& server)
 {
     const auto result = record_incomplete_send(current);
+    current.lost_unanswered_ = !server.expired_ && !current.time_to_first_event_;
     if (result != send_result::broken_off)
     {
         const bool timed_out = result == send_result::out_of_time;
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/process/server_notices.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
 
@@ -111,6 +112,7 @@
                                   const boost::system::error_code& ec)
 {
     const auto result = record_incomplete_send(current);
+    current.lost_unanswered_ = !connection.expired_ && !current.time_to_first_event_;
     current.state_.metrics_.count("gateway_answers_missing_total", {{"expired", connection.expired_ ? "1" : "0"}});
     log_event(severity::info, answer_missing, ec.message(),
               {{"request", current.parsed_request_.id_.get()},
@@ -224,6 +226,10 @@
     {
         return "memory_expired";
     }
+    if (is_part_blocked(current))
+    {
+        return "prompt_part_blocked";
+    }
     return remaining_time(current).count() <= 0 ? "time_limit_passed" : nullptr;
 }
 
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -1,11 +1,10 @@
 #include <algorithm>
 #include <array>
-#include <ranges>
-#include <sstream>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
 
 namespace cornelstall
@@ -71,6 +70,12 @@
         (void)co_await deliver(current, std::move(*current.error_answer_));
         co_return;
     }
+    if (current.possible_runs_ == 0 && is_part_blocked(current))
+    {
+        const auto retry_after = refuse_blocked_parts(current.state_, current.parsed_request_.shared_parts_);
+        co_await send_gateway_answer(current, 503, "prompt_part_blocked", retry_after);
+        co_return;
+    }
     if (current.possible_runs_ == 0)
     {
         const char* const reason = current.sends_ > 0 ? "servers_refused" : "no_server_free";
@@ -190,16 +195,6 @@
 
 }  // namespace
 
-std::string text_of(const std::vector<prompt_part_id>& parts)
-{
-    constexpr std::size_t max_logged = 8;
-    std::ostringstream text;
-    text << std::hex;
-    std::ranges::for_each(parts | std::views::take(max_logged),
-                          [&text](prompt_part_id part) { text << (text.tellp() > 0 ? "," : "") << part.get(); });
-    return parts.empty() ? "none" : text.str();
-}
-
 bool is_retry_safe(const exchange& current)
 {
     return current.route_->kind_ == request_kind::idempotent ||
@@ -231,10 +226,17 @@
            current.parsed_request_.prompt_.value_or(token_count{0}) > current.service_->engine_->kv_capacity_;
 }
 
+bool is_part_blocked(const exchange& current)
+{
+    return !current.part_trial_ &&
+           !blocked_parts(current.state_.suspect_parts_, current.parsed_request_.shared_parts_).empty();
+}
+
 bool can_switch_server(const exchange& current)
 {
-    return is_retry_safe(current) && current.possible_runs_ + 1 < current.route_->max_attempts_ &&
-           !prompt_exceeds_engine_memory(current) && has_untried_server(current) &&
+    return is_retry_safe(current) && !current.part_trial_ &&
+           current.possible_runs_ + 1 < current.route_->max_attempts_ && !prompt_exceeds_engine_memory(current) &&
+           has_untried_server(current) &&
            can_retry(current.state_.retry_budget_, current.service_->id_, std::chrono::steady_clock::now());
 }
 
@@ -353,6 +355,7 @@
     }
     set_deadline(current, time_limit(current));
     record_request(state.retry_budget_, current.service_->id_, std::chrono::steady_clock::now());
+    current.part_trial_ = take_part_trial(state, current.parsed_request_.shared_parts_);
     const auto result = co_await try_servers(current);
     if (current.watch_->disconnected_)
     {
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <utility>
 
+#include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
 #include "cornelstall/gateway/request/memory_lease.hpp"
 #include "request/send_plan.hpp"
@@ -24,6 +25,8 @@
 /// A request waits for at most this share of its latency target while no engine can take it or its cost to other
 /// requests exceeds its value. Then it is refused, because it would most likely miss the target.
 constexpr double placement_wait_share = 0.35;
+/// A server process that has ended refuses a connection within one round trip.
+constexpr milliseconds crash_check_timeout{60};
 /// Shortest and longest time after which a waiting request looks for a place again when no event has woken it:
 /// forecasts change as time passes.
 constexpr milliseconds min_recheck_delay{10};
@@ -154,7 +157,10 @@
 /// True when another server may be tried after a send that ended with @a result.
 bool may_send_again(const exchange& current, send_result result)
 {
-    return (result == send_result::did_not_run || is_retry_safe(current)) &&
+    const auto& parts = current.parsed_request_.shared_parts_;
+    const bool may_crash =
+        current.part_trial_ || (current.server_crashed_ && may_crash_again(current.state_.suspect_parts_, parts));
+    return (result == send_result::did_not_run || (is_retry_safe(current) && !may_crash)) &&
            current.possible_runs_ < current.route_->max_attempts_ &&
            current.sends_ < current.route_->max_attempts_ + additional_sends;
 }
@@ -291,7 +297,10 @@
     const auto candidates = candidate_servers(current.state_.directory_, make_choice_request(current), now);
     step.usage_ = current_usage(current, candidates, work);
     step.order_ = order_of(current, work, step.usage_);
-    step.plan_ = plan_send(current, work, hold.key_, min_benefit_share(step.usage_) * work.value_, now);
+    step.facts_.part_blocked_ = is_part_blocked(current);
+    step.plan_ = step.facts_.part_blocked_
+                     ? std::nullopt
+                     : plan_send(current, work, hold.key_, min_benefit_share(step.usage_) * work.value_, now);
     auto& facts = step.facts_;
     facts.waited_ = waited(current, now);
     facts.time_left_ = remaining_time(current);
@@ -368,6 +377,19 @@
     }
 }
 
+/// Finds out whether the server of a send that was lost without an answer has ended, which is held against the parts of
+/// the prompt.
+task<> check_for_crash(exchange& current, listed_server server, time_point sent_at)
+{
+    const bool ended = co_await refuses_connections(current.state_.executor_, server.address_.get(),
+                                                    std::chrono::steady_clock::now() + crash_check_timeout);
+    current.server_crashed_ = ended;
+    if (ended)
+    {
+        record_server_crash(current.state_, server, current.parsed_request_.shared_parts_, sent_at);
+    }
+}
+
 /// Sends the request once according to @a plan.
 task<send_result> execute_plan(exchange& current, const send_plan& plan, engine_hold& hold)
 {
@@ -376,7 +398,15 @@
     log_plan(current, plan);
     const load_registration registration(current.state_, plan.parts_, current.execution_id_);
     hold.release();
+    current.lost_unanswered_ = false;
+    current.server_crashed_ = false;
+    const auto sent_at = std::chrono::steady_clock::now();
     const auto result = co_await send_to_server(current, plan.server_, plan.forecast_);
+    const bool may_have_crashed = result == send_result::may_have_run && current.lost_unanswered_;
+    if (may_have_crashed && !current.parsed_request_.shared_parts_.empty())
+    {
+        co_await check_for_crash(current, plan.server_, sent_at);
+    }
     current.state_.metrics_.count("gateway_sends_total", {{"end", name_of(result)}});
     log_event(severity::info, send_ended, name_of(result),
               {{"request", current.parsed_request_.id_.get()}, {"server", plan.server_.id_.get()}});
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <unordered_map>
 
 #include "load.pb.h"
@@ -22,6 +23,8 @@
 constexpr std::uint32_t max_vms = 100'000;
 constexpr std::uint32_t max_slots = 100'000;
 constexpr std::uint32_t max_priority = 1'000'000;
+constexpr std::uint32_t max_trials = 1000;
+constexpr int max_crashes = 64;
 
 token_count decode_tokens(std::uint32_t count)
 {
@@ -170,6 +173,42 @@
     return news;
 }
 
+std::uint32_t age_ms(time_point at, time_point now)
+{
+    const auto age = std::chrono::duration_cast<milliseconds>(now - at).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, max_time_ms));
+}
+
+void encode_part(load::SuspectPart& message, const reported_part& reported, time_point now)
+{
+    const auto& evidence = reported.evidence_;
+    message.set_part(reported.part_.get());
+    message.set_begun_age_plus_1(evidence.begun_at_ ? age_ms(*evidence.begun_at_, now) + 1 : 0);
+    message.set_trials(static_cast<std::uint32_t>(evidence.trials_));
+    std::ranges::for_each(evidence.crashes_, [&](const part_crash& crash) {
+        auto& entry = *message.add_crashes();
+        entry.set_id(crash.id_.get());
+        entry.set_sent_age_ms(age_ms(crash.sent_at_, now));
+        entry.set_age_ms(age_ms(crash.crashed_at_, now));
+    });
+}
+
+reported_part decode_part(const load::SuspectPart& message, time_point now)
+{
+    reported_part reported;
+    reported.part_ = prompt_part_id{message.part()};
+    if (const auto begun_age = age_of(message.begun_age_plus_1()))
+    {
+        reported.evidence_.begun_at_ = now - std::min(*begun_age, milliseconds{max_time_ms});
+    }
+    reported.evidence_.trials_ = static_cast<int>(std::min(message.trials(), max_trials));
+    std::ranges::for_each(message.crashes() | std::views::take(max_crashes), [&](const load::PartCrash& crash) {
+        reported.evidence_.crashes_.push_back(
+            {crash_id{crash.id()}, now - decode_time(crash.sent_age_ms()), now - decode_time(crash.age_ms())});
+    });
+    return reported;
+}
+
 }  // namespace
 
 std::string encode_load_report(const load_report& report, byte_count limit, time_point now)
@@ -191,6 +230,8 @@
         entry.set_born_ms(server.started_at_ms_);
         entry.set_age_ms(static_cast<std::uint32_t>(server.age_.count()));
     });
+    std::ranges::for_each(report.suspect_parts_,
+                          [&](const reported_part& part) { encode_part(*message.add_suspect_parts(), part, now); });
     std::unordered_map<server_id, std::uint32_t> indexes;
     std::size_t bytes = message.ByteSizeLong();
     for (const auto& entry : report.work_)
@@ -251,6 +292,8 @@
         message.leaving_servers(), std::back_inserter(report.leaving_servers_), [](const load::LeavingServer& server) {
             return leaving_server{server_id{server.id()}, server.born_ms(), decode_time(server.age_ms())};
         });
+    std::ranges::transform(message.suspect_parts(), std::back_inserter(report.suspect_parts_),
+                           [now](const load::SuspectPart& part) { return decode_part(part, now); });
     report.log_update_ = decode_news(message.news());
     std::ranges::for_each(message.work(), [&](const load::Work& work) {
         if (work.server() < static_cast<std::uint32_t>(message.servers_size()))
--- a/tests/gateway/fake_server.hpp
+++ b/tests/gateway/fake_server.hpp
@@ -22,6 +22,7 @@
     bool keep_open_ = false;  ///< wait for the gateway to close the connection after the bytes were sent
     std::string endless_{};   ///< sent again and again after the bytes until the gateway closes the connection
     milliseconds pause_{0};   ///< between two repetitions of `endless_`
+    bool reset_ = false;      ///< after the bytes were received, reset the connection instead of closing it
     bool crash_ = false;      ///< after the bytes were sent, close the connection and accept no others
 };
 
@@ -63,6 +64,13 @@
     const auto response = server->script_(message);
     co_await boost::asio::async_write(socket, boost::asio::buffer(response.bytes_),
                                       boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+    if (response.reset_)
+    {
+        co_await sleep_for(milliseconds{50});  // a reset discards bytes that the gateway has not read
+        socket.set_option(boost::asio::socket_base::linger(true, 0), failed);
+        socket.close(failed);
+        co_return;
+    }
     if (response.crash_)
     {
         server->acceptor_.close(failed);
