Compare an answer's request before believing that the request did not run

Other operators report that a faulty server writes an earlier refusal once more, and that callers were told "not run" for requests that had run (REFUSED), or such a request ran at a second server (TWICE). Here connections to servers are not kept, so an answer on an earlier connection has no way to the next request; a server that writes the refusal of another request on the new connection has.

Cause: did_not_run and the server's notices were applied before the id of the answer was compared. In the test a booking was sent to two servers and answered 503, and both counted as leaving; it failed with three checks. Change: an answer that states another request is rejected before anything in it is used.

--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -163,13 +163,15 @@
     return answer;
 }
 
+/// True when a faulty server repeats an answer to an earlier request. Nothing that it says holds for this one.
+bool answers_another_request(const exchange& current, const server_answer& answer)
+{
+    return !answer.request_id_.empty() && answer.request_id_ != current.parsed_request_.id_;
+}
+
 /// Reason id for rejecting the answer; null when the answer may be relayed.
-const char* rejection_reason(const exchange& current, const server_answer& answer)
+const char* rejection_reason(const server_answer& answer)
 {
-    if (!answer.request_id_.empty() && answer.request_id_ != current.parsed_request_.id_)
-    {
-        return "answers_another_request";
-    }
     if (answer.body_encoded_)
     {
         return "encoded_body";
@@ -262,12 +264,16 @@
                                answer_parser& parser)
 {
     const auto answer = current.state_.protocol_.read_answer_(parser.get());
+    if (answers_another_request(current, answer))
+    {
+        co_return reject_answer(current, server, "answers_another_request");
+    }
     apply_notices(current.state_, server, answer);
     if (answer.did_not_run_)
     {
         co_return record_not_run(current, server, answer);
     }
-    const char* const rejection = rejection_reason(current, answer);
+    const char* const rejection = rejection_reason(answer);
     if (rejection != nullptr)
     {
         co_return reject_answer(current, server, rejection);
--- /dev/null
+++ b/tests/gateway/broken_answers_test.cpp
@@ -0,0 +1,72 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/gateway_fixture.hpp"
+
+using namespace cornelstall;
+using namespace cornelstall::tests;
+
+namespace
+{
+
+route make_route(request_kind kind, bool resumable)
+{
+    route matched;
+    matched.kind_ = kind;
+    matched.resumable_ = resumable;
+    matched.max_attempts_ = 2;
+    matched.timeout_ = milliseconds{3000};
+    matched.latency_target_ = milliseconds{200};
+    matched.max_event_gap_ = milliseconds{200};
+    return matched;
+}
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::size_t arrivals(const gateway_fixture& gateway)
+{
+    std::size_t count = 0;
+    for (const auto& server : gateway.servers_)
+    {
+        count += server->received_requests_.size();
+    }
+    return count;
+}
+
+}  // namespace
+
+TEST_CASE("a server that repeats an earlier refusal is not believed that it did not run this request")
+{
+    gateway_fixture gateway;
+    gateway.activate_route(make_route(request_kind::non_idempotent, false));
+    const auto earlier_refusal = [](const auto&) {
+        return scripted_response{.bytes_ =
+                                     "HTTP/1.1 503 Service Unavailable\r\nX-Id: q0\r\nX-Not-Run: 1\r\nX-Leaving: "
+                                     "1\r\nContent-Length: 0\r\n\r\n"};
+    };
+    gateway.add_server(earlier_refusal);
+    gateway.add_server(earlier_refusal);
+    const auto answer = gateway.send_raw_request(request_text("POST", {}, "book"));
+    CHECK(contains(answer, "HTTP/1.1 502"));
+    CHECK(arrivals(gateway) == 1);
+    // Nor does the server leave.
+    CHECK(ready_servers(gateway.state_.directory_, service_id{"s"}, std::chrono::steady_clock::now()).size() == 2);
+}
+
+TEST_CASE("a refusal on a connection that answered before does not reach the next request")
+{
+    gateway_fixture gateway;
+    gateway.activate_route(make_route(request_kind::non_idempotent, false));
+    const auto server = gateway.add_server([](const auto&) {
+        auto answer = plain_response("200 OK", "booked");
+        answer.bytes_ += plain_response("503 Service Unavailable", "", "X-Not-Run: 1\r\n").bytes_;
+        return answer;
+    });
+    for (int request = 1; request <= 3; ++request)
+    {
+        CHECK(contains(gateway.send_raw_request(request_text("POST", {}, "book")), "booked"));
+        CHECK(server->received_requests_.size() == static_cast<std::size_t>(request));
+    }
+}
