End a begun stream when the next server answers with an error

Cause: relay_plain ends in deliver, which did not look at whether the head of a stream had been sent; it wrote a second complete answer after the first chunks. Change: such an answer is not delivered.

--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -250,6 +250,11 @@
     }
     close_socket(*connection);
     ++current.possible_runs_;
+    if (current.head_sent_)
+    {
+        // Part of a stream has been sent. Only a server that resumes it can complete it.
+        co_return send_result::server_failed;
+    }
     auto complete_answer = make_plain_answer(current, parser, std::move(*body));
     const bool last_attempt = current.possible_runs_ >= current.route_->max_attempts_;
     if (is_server_failure(answer.status_) && is_retry_safe(current) && !last_attempt)
--- a/tests/gateway/broken_answers_test.cpp
+++ b/tests/gateway/broken_answers_test.cpp
@@ -70,3 +70,22 @@
         CHECK(server->received_requests_.size() == static_cast<std::size_t>(request));
     }
 }
+
+TEST_CASE("a stream that has begun is not followed by the error of the next server")
+{
+    gateway_fixture gateway;
+    gateway.activate_route(make_route(request_kind::streaming, true));
+    const auto error = GENERATE(as<std::string>{}, "500 Internal Server Error", "404 Not Found", "204 No Content");
+    int sends = 0;
+    const auto script = [&sends, error](const auto&) {
+        return ++sends == 1 ? scripted_response{.bytes_ = stream_events(1, 3)} : plain_response(error, "broken");
+    };
+    gateway.add_server(script);
+    gateway.add_server(script);
+    const auto answer = gateway.send_raw_request(request_text("POST", {}, "prompt"));
+    CHECK(sends == 2);
+    CHECK(contains(answer, "data: e3"));
+    CHECK_FALSE(contains(answer, "broken"));
+    CHECK(answer.rfind("HTTP/1.1") == 0);
+    CHECK_FALSE(answer.ends_with(last_chunk));
+}
