Test answers whose head breaks off and answers without a length

Other operators report a 200 with an empty or short body, framed as whole, after a server stopped in the middle of its answer's head. It does not happen here: a head cut at five places, by close and by reset, gets 502 for plain answers and streams.

--- a/tests/gateway/broken_answers_test.cpp
+++ b/tests/gateway/broken_answers_test.cpp
@@ -35,6 +35,8 @@
     return count;
 }
 
+const std::string head_without_length{"HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\n\r\n"};
+
 }  // namespace
 
 TEST_CASE("a server that repeats an earlier refusal is not believed that it did not run this request")
@@ -89,3 +91,45 @@
     CHECK(answer.rfind("HTTP/1.1") == 0);
     CHECK_FALSE(answer.ends_with(last_chunk));
 }
+
+TEST_CASE("an answer whose head breaks off is not relayed as an empty or short one")
+{
+    const auto kind = GENERATE(request_kind::non_idempotent, request_kind::streaming);
+    const auto head = GENERATE(as<std::string>{}, "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\nContent-Le",
+                               "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\nContent-Length: 6\r\n",
+                               "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\n", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200");
+    const bool reset = GENERATE(false, true);
+    gateway_fixture gateway;
+    gateway.activate_route(make_route(kind, false));
+    gateway.add_server([head, reset](const auto&) { return scripted_response{.bytes_ = head, .reset_ = reset}; });
+    const auto answer = gateway.send_raw_request(request_text("POST", {}, "book"));
+    CHECK(contains(answer, "HTTP/1.1 502"));
+    CHECK_FALSE(contains(answer, "200 OK"));
+}
+
+TEST_CASE("an answer without a length ends with its connection and is incomplete when that is reset")
+{
+    const bool reset = GENERATE(false, true);
+    gateway_fixture gateway;
+    gateway.activate_route(make_route(request_kind::non_idempotent, false));
+    gateway.add_server(
+        [reset](const auto&) { return scripted_response{.bytes_ = head_without_length + "booked", .reset_ = reset}; });
+    const auto answer = gateway.send_raw_request(request_text("POST", {}, "book"));
+    CHECK(contains(answer, "booked") == !reset);
+    CHECK(contains(answer, "HTTP/1.1 502") == reset);
+}
+
+TEST_CASE("a stream without a length is complete only when its connection closes after a whole event")
+{
+    const std::string events = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n";
+    const auto [rest, reset] = GENERATE(table<std::string, bool>({{"", false}, {"", true}, {"id: 3\nda", false}}));
+    gateway_fixture gateway;
+    gateway.activate_route(make_route(request_kind::streaming, false));
+    gateway.add_server([bytes = head_without_length + events + rest, closed_by_reset = reset](const auto&) {
+        return scripted_response{.bytes_ = bytes, .reset_ = closed_by_reset};
+    });
+    const auto answer = gateway.send_raw_request(request_text("POST", {}, "prompt"));
+    CHECK(contains(answer, "data: e2"));
+    CHECK_FALSE(contains(answer, "id: 3"));
+    CHECK(answer.ends_with(last_chunk) == (rest.empty() && !reset));
+}
