Log when a server names a limit for the requests of all VMs

The platform reads the limit from the answers; a statement that is not a rate changes nothing. A VM logs when a server begins to name a limit, names another one and names none any more. An answer without a limit ends it only if its request was sent when the limit was known.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -22,6 +22,7 @@
 #include "cornelstall/decisions/process/organisation_shares.hpp"
 #include "cornelstall/decisions/process/reconcile.hpp"
 #include "cornelstall/decisions/process/server_directory.hpp"
+#include "cornelstall/decisions/process/server_limits.hpp"
 #include "cornelstall/decisions/process/shared_retry_budget.hpp"
 #include "cornelstall/decisions/process/suspect_parts.hpp"
 #include "cornelstall/decisions/request/admission.hpp"
--- a/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "cornelstall/decisions/process/server_limits.hpp"
 #include "cornelstall/value.hpp"
 
 namespace cornelstall
@@ -61,6 +62,7 @@
     std::map<server_id, known_server> servers_;
     std::map<server_id, log_offset> removed_;  ///< log offsets of removals; older entries must not undo them
     std::map<server_id, server_notice> notices_;
+    server_limits limits_;
 };
 
 /// @brief A server that this VM or another one knows to be leaving.
--- a/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
@@ -66,6 +66,13 @@
     std::vector<prefill_helper> helpers_;
 };
 
+/// @brief What an answer says about the rate of requests that its server takes.
+struct stated_limit
+{
+    bool stated_ = false;                ///< the answer names a limit
+    std::optional<request_rate> limit_;  ///< for all VMs together; nothing when what it names is not a rate
+};
+
 /// @brief The fields of a backend server's answer that the gateway uses, without the body.
 struct server_answer
 {
@@ -77,7 +84,8 @@
     bool body_encoded_ = false;                ///< a content encoding is applied to the body
     bool leaving_ = false;                     ///< the server announces that it is shutting down
     std::optional<milliseconds> retry_after_;  ///< a refusing server wants no work from this VM for this time
-    std::string responsible_server_;           ///< id or address of the other server that caused the refusal, if stated
+    stated_limit limit_;
+    std::string responsible_server_;  ///< id or address of the other server that caused the refusal, if stated
 };
 
 /// @brief Reads and writes the messages of one deployment.
--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -60,6 +60,7 @@
     state.metrics_.set("gateway_open_requests", {}, static_cast<double>(state.open_requests_));
     state.metrics_.set("gateway_servers", {}, static_cast<double>(state.directory_.servers_.size()));
     state.metrics_.set("gateway_peers", {}, static_cast<double>(state.peers_.peers_.size()));
+    state.metrics_.set("gateway_servers_limited", {}, static_cast<double>(state.directory_.limits_.limits_.size()));
     const auto blocked =
         std::ranges::count_if(state.suspect_parts_.parts_ | std::views::values, &suspect_part::blocked_);
     state.metrics_.set("gateway_prompt_parts_blocked", {}, static_cast<double>(blocked));
--- a/packages/gateway/src/process/server_notices.cpp
+++ b/packages/gateway/src/process/server_notices.cpp
@@ -11,6 +11,27 @@
 constexpr event_kind server_leaving{4048, "server_leaving"};
 constexpr event_kind server_paused{4049, "server_paused"};
 
+constexpr event_kind server_limited{4059, "server_limited"};
+constexpr event_kind server_limit_ended{4060, "server_limit_ended"};
+constexpr const char* own_answer = "answer";
+
+void log_limit(const server_id& server, limit_change change, std::optional<request_rate> limit,
+               const std::string& source)
+{
+    if (change == limit_change::named)
+    {
+        log_event(severity::info, server_limited, "the server names a limit for the requests of all VMs together",
+                  {{"server", server.get()},
+                   {"per_s", std::to_string(limit.value_or(request_rate{}).get())},
+                   {"source", source}});
+    }
+    if (change == limit_change::ended)
+    {
+        log_event(severity::info, server_limit_ended, "the server names no limit any more",
+                  {{"server", server.get()}, {"source", source}});
+    }
+}
+
 }  // namespace
 
 void apply_notices(gateway_state& state, const listed_server& server, const server_answer& answer)
@@ -36,6 +57,22 @@
     }
 }
 
+void apply_limit(gateway_state& state, const listed_server& server, const stated_limit& limit, time_point sent_at)
+{
+    auto& limits = state.directory_.limits_;
+    auto change = limit_change::none;
+    if (!limit.stated_)
+    {
+        change = record_no_limit(limits, server.id_, server.started_at_ms_, sent_at);
+    }
+    else if (limit.limit_)
+    {
+        change =
+            record_limit(limits, server.id_, server.started_at_ms_, *limit.limit_, std::chrono::steady_clock::now());
+    }
+    log_limit(server.id_, change, limit.limit_, own_answer);
+}
+
 void apply_reported_leaving(gateway_state& state, const vm_id& sender, const std::vector<leaving_server>& leaving)
 {
     const auto now = std::chrono::steady_clock::now();
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -266,7 +266,7 @@
 }
 
 task<send_result> relay_answer(exchange& current, listed_server server, std::shared_ptr<backend_socket> connection,
-                               answer_parser& parser)
+                               answer_parser& parser, time_point sent_at)
 {
     const auto answer = current.state_.protocol_.read_answer_(parser.get());
     if (answers_another_request(current, answer))
@@ -274,6 +274,10 @@
         co_return reject_answer(current, server, "answers_another_request");
     }
     apply_notices(current.state_, server, answer);
+    if (!answer.wrong_server_)
+    {
+        apply_limit(current.state_, server, answer.limit_, sent_at);
+    }
     if (answer.did_not_run_)
     {
         co_return record_not_run(current, server, answer);
@@ -338,6 +342,7 @@
         co_return send_result::did_not_run;
     }
     ++current.connected_sends_;
+    const auto sent_at = std::chrono::steady_clock::now();
     current.watch_->backend_connection_ = connection;
     set_send_deadline(current, *connection, first_byte_deadline(current, forecast));
     const auto outgoing = start_sending(connection, make_server_request(current, server));
@@ -354,7 +359,7 @@
     }
     else
     {
-        result = co_await relay_answer(current, server, connection, parser);
+        result = co_await relay_answer(current, server, connection, parser, sent_at);
     }
     clear_close_deadline(*connection);
     close_socket(*connection);
--- a/packages/value/include/cornelstall/value/units.hpp
+++ b/packages/value/include/cornelstall/value/units.hpp
@@ -14,6 +14,7 @@
 struct byte_tag;
 struct weight_tag;
 struct rate_tag;
+struct request_rate_tag;
 }  // namespace detail
 
 /// @brief A number of model tokens; signed, so that differences cannot wrap around.
@@ -25,6 +26,9 @@
 /// @brief Tokens per second.
 using token_rate = strong_number<detail::rate_tag, double>;
 
+/// @brief Requests per second.
+using request_rate = strong_number<detail::request_rate_tag, double>;
+
 using std::chrono::milliseconds;
 
 /// @brief A point in monotonic time. Decisions take it as a parameter and do not read a clock.
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -62,6 +62,13 @@
         answer.did_not_run_ = head.find("X-Not-Run") != head.end();
         answer.authentic_ = head.find("X-Seal") != head.end();
         answer.leaving_ = head.find("X-Leaving") != head.end();
+        const auto limit = head["X-Limit"];
+        std::int64_t per_second = 0;
+        answer.limit_.stated_ = head.find("X-Limit") != head.end();
+        if (std::from_chars(limit.data(), limit.data() + limit.size(), per_second).ec == std::errc{})
+        {
+            answer.limit_.limit_ = request_rate{static_cast<double>(per_second)};
+        }
         const auto pause = head["X-Pause"];
         std::int64_t pause_ms = 0;
         if (std::from_chars(pause.data(), pause.data() + pause.size(), pause_ms).ec == std::errc{})
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -265,6 +265,23 @@
     CHECK(read(response).leaving_);
 }
 
+TEST_CASE("a server names with Server-Limit in any answer how many requests a second it takes")
+{
+    namespace http = boost::beast::http;
+    const auto read = platform::platform_protocol().read_answer_;
+    const auto status = GENERATE(http::status::ok, http::status::service_unavailable, http::status::not_found);
+    http::response<http::string_body> response(status, 11);
+    CHECK_FALSE(read(response).limit_.stated_);
+    const auto [text, limit] = GENERATE(table<std::string, double>(
+        {{"2.5", 2.5}, {"1", 1.0}, {"0", 0.0}, {"0.05", 0.05}, {"999999999999999999", 1'000'000.0}}));
+    response.set("Server-Limit", text);
+    CHECK(read(response).limit_.limit_ == request_rate{limit});
+    const auto malformed = GENERATE(as<std::string>{}, "", "-1", "nan", "inf", "1e3", "2 a second", "1,5", "0x10");
+    response.set("Server-Limit", malformed);
+    CHECK(read(response).limit_.stated_);
+    CHECK(read(response).limit_.limit_ == std::nullopt);
+}
+
 // Unbounded counts overflowed the sums of the forecast.
 TEST_CASE("token counts and time limits of a caller are bounded")
 {
