Keep the limit that a server names by all VMs together

Cause: nothing read the limit, so its servers got what the others get. The class: a bound over all VMs that each VM would keep alone.

The allowance is taken just before a request is written, also for engines that help with a prompt. VMs tell each other when a limit begins, changes, still holds and ends. A request waits for an allowance within its wait or is refused with its time.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -17,6 +17,7 @@
 #include "cornelstall/decisions/process/engine_summary.hpp"
 #include "cornelstall/decisions/process/fleet_view.hpp"
 #include "cornelstall/decisions/process/lease.hpp"
+#include "cornelstall/decisions/process/limit_shares.hpp"
 #include "cornelstall/decisions/process/membership.hpp"
 #include "cornelstall/decisions/process/orders.hpp"
 #include "cornelstall/decisions/process/organisation_shares.hpp"
--- a/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
@@ -31,7 +31,8 @@
     log_update log_update_;
     bool log_update_only_ = false;                 ///< carries no load; the work reported before stays
     std::vector<leaving_server> leaving_servers_;  ///< servers that told the sender that they are leaving
-    std::vector<reported_part> suspect_parts_;     ///< a report that has any carries nothing else
+    std::vector<reported_part> suspect_parts_;     ///< a report with parts or limits carries nothing else
+    std::vector<reported_limit> limits_;           ///< as `suspect_parts_`
     std::size_t vms_known_ = 0;  ///< VMs known to the sender, directly or from reports, including itself
 };
 
--- a/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -111,6 +111,23 @@
 [[nodiscard]] std::optional<milliseconds> time_until_pause_ends(const server_directory& directory,
                                                                 const service_id& service, time_point now);
 
+/// @brief True when @a server names a limit for the requests of all VMs together.
+[[nodiscard]] bool has_limit(const server_directory& directory, const known_server& server);
+
+/// @brief True when the limit that @a server names, if any, lets this VM send it a request.
+[[nodiscard]] bool is_within_limit(const server_directory& directory, const known_server& server, time_point now);
+
+/// @brief Takes one request from this VM's share in the limit of the server @a id.
+/// @return false when the limit does not let this VM send now; true when the server has no limit
+[[nodiscard]] bool take_from_limit(server_directory& directory, const server_id& id, time_point now);
+
+/// @brief Time until the limit of a server of @a service lets this VM send it a request. Servers in @a tried do not
+/// count.
+/// @return nothing when this VM has no share in the limit of any server that accepts work
+[[nodiscard]] std::optional<milliseconds> time_until_within_limit(const server_directory& directory,
+                                                                  const service_id& service,
+                                                                  const std::vector<server_id>& tried, time_point now);
+
 /// @brief Records a failed request whose cause may be @a server.
 void record_failure(known_server& server, time_point now);
 
--- a/packages/decisions/include/cornelstall/decisions/request/server_choice.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/server_choice.hpp
@@ -42,7 +42,8 @@
 [[nodiscard]] std::uint64_t tie_breaker(const server_id& id, std::uint64_t seed);
 
 /// @brief The ready servers of the requested service that were not tried: those of the own cell, or all when the cell
-/// has none or more than half of its servers are in backoff at @a now. Large sets are sampled.
+/// has none or more than half of its servers are in backoff at @a now. Servers whose limit does not let this VM send
+/// now are left out. Large sets are sampled.
 [[nodiscard]] std::vector<known_server*> candidate_servers(server_directory& directory, const choice_request& request,
                                                            time_point now);
 
--- a/packages/decisions/src/process/server_directory.cpp
+++ b/packages/decisions/src/process/server_directory.cpp
@@ -54,6 +54,15 @@
                                                  found->second.listed_.address_ == server.address_);
 }
 
+/// The limit of the listed lifetime of @a server, or null.
+const server_limit* find_limit(const server_directory& directory, const listed_server& server)
+{
+    const auto found = directory.limits_.limits_.find(server.id_);
+    const bool applies =
+        found != directory.limits_.limits_.end() && found->second.started_at_ms_ == server.started_at_ms_;
+    return applies ? &found->second : nullptr;
+}
+
 bool set_leaving(server_notice& notice, bool own, time_point now)
 {
     const bool is_new = !notice.leaving_;
@@ -184,6 +193,45 @@
     return shortest;
 }
 
+bool has_limit(const server_directory& directory, const known_server& server)
+{
+    return find_limit(directory, server.listed_) != nullptr;
+}
+
+bool is_within_limit(const server_directory& directory, const known_server& server, time_point now)
+{
+    const auto* const limit = find_limit(directory, server.listed_);
+    return limit == nullptr || time_until_allowed(*limit, now) == milliseconds{0};
+}
+
+bool take_from_limit(server_directory& directory, const server_id& id, time_point now)
+{
+    const auto* const server = find_server(directory, id);
+    if (server == nullptr || find_limit(directory, server->listed_) == nullptr)
+    {
+        return true;
+    }
+    return take_allowance(directory.limits_.limits_.at(id), now);
+}
+
+std::optional<milliseconds> time_until_within_limit(const server_directory& directory, const service_id& service,
+                                                    const std::vector<server_id>& tried, time_point now)
+{
+    std::optional<milliseconds> shortest;
+    std::ranges::for_each(directory.servers_ | std::views::values, [&](const known_server& server) {
+        const auto* const limit = find_limit(directory, server.listed_);
+        const bool was_tried = std::ranges::find(tried, server.listed_.id_) != tried.end();
+        if (limit == nullptr || was_tried || server.listed_.service_ != service ||
+            !accepts_work(directory, server, now))
+        {
+            return;
+        }
+        const auto left = time_until_allowed(*limit, now);
+        shortest = left ? std::min(shortest.value_or(*left), *left) : shortest;
+    });
+    return shortest;
+}
+
 void record_failure(known_server& server, time_point now)
 {
     server.backoff_ = std::clamp(server.backoff_ * 2, initial_backoff, max_backoff);
--- a/packages/decisions/src/request/server_choice.cpp
+++ b/packages/decisions/src/request/server_choice.cpp
@@ -19,7 +19,7 @@
 /// chosen only when none fits.
 constexpr double full_engine_cost = 100.0;
 /// Extra benefit required of an idle engine: streams are kept together, so that long prompts find engines without
-/// streams.
+/// streams. An engine with a limit does not cost it, because what it may take now is lost when it stays idle.
 constexpr double idle_engine_cost = 0.15;
 /// Largest fraction of the benefit that the idle cost may take, because a late request has little value left.
 constexpr double max_idle_cost_share = 0.25;
@@ -86,14 +86,14 @@
 }
 
 ranked_server rank_engine(known_server& server, engine_simulation& engine, const engine_profile& profile,
-                          const choice_request& request, time_point now)
+                          const choice_request& request, bool limited, time_point now)
 {
     advance(engine, profile, server.slowdown_, now);
     ranked_server ranked;
     ranked.server_ = &server;
     ranked.forecast_ = forecast_placement(engine, profile, server.slowdown_, request.work_, now);
     const double gain = std::max(0.0, ranked.forecast_.benefit_);
-    const double idle_cost = is_idle(engine) ? std::min(idle_engine_cost, max_idle_cost_share * gain) : 0.0;
+    const double idle_cost = is_idle(engine) && !limited ? std::min(idle_engine_cost, max_idle_cost_share * gain) : 0.0;
     const bool held = std::ranges::any_of(engine.work_, [&request](const engine_work& entry) {
         return entry.holds_engine_ && entry.key_ != request.hold_id_;
     });
@@ -151,7 +151,17 @@
     std::erase_if(servers, [&request](const known_server* server) {
         return std::ranges::find(request.tried_, server->listed_.id_) != request.tried_.end();
     });
-    return sample_servers(prefer_own_cell(std::move(servers), request, now), request.tie_break_seed_);
+    const auto exceeds_limit = [&directory, now](const known_server* server) {
+        return !is_within_limit(directory, *server, now);
+    };
+    auto candidates = prefer_own_cell(servers, request, now);
+    std::erase_if(candidates, exceeds_limit);
+    if (candidates.empty())
+    {
+        std::erase_if(servers, exceeds_limit);
+        candidates = std::move(servers);
+    }
+    return sample_servers(std::move(candidates), request.tie_break_seed_);
 }
 
 server_choice choose_server(server_directory& directory, fleet_load& load, const service_description& service,
@@ -161,8 +171,9 @@
     const auto unreachable = unreachable_data_centres(directory, now);
     std::ranges::for_each(candidate_servers(directory, request, now), [&](known_server* server) {
         auto& engine = load.engines_[server->listed_.id_];
-        auto entry = service.engine_ ? rank_engine(*server, engine, *service.engine_, request, now)
-                                     : rank_plain(*server, engine);
+        auto entry = service.engine_
+                         ? rank_engine(*server, engine, *service.engine_, request, has_limit(directory, *server), now)
+                         : rank_plain(*server, engine);
         entry.avoided_ = server->avoid_until_ > now || unreachable.contains(server->listed_.data_centre_);
         entry.tie_break_ = tie_breaker(server->listed_.id_, request.tie_break_seed_);
         if (server->listed_.data_centre_ != request.data_centre_)
--- a/packages/gateway/include/cornelstall/gateway/connection/load_exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/load_exchange.hpp
@@ -18,7 +18,7 @@
     std::uint64_t sequence_ = 0;   ///< of the last report sent
     log_offset sent_changes_end_;  ///< end of the server list when its changes were last sent
     time_point changes_sent_at_;   ///< when changes of the server list were last sent
-    time_point parts_sent_at_;     ///< when evidence about prompt parts was last sent
+    time_point news_sent_at_;      ///< when evidence about prompt parts and limits of servers was last sent
 };
 
 /// @brief Receives the reports of the other VMs and applies them, until the socket is closed.
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -44,7 +44,7 @@
     vm_peers peers_;
     shared_retry_budget retry_budget_;
     suspect_parts suspect_parts_;
-    bool part_news_ = false;  ///< evidence about prompt parts has not been reported to the other VMs yet
+    bool fleet_news_ = false;  ///< evidence about prompt parts or limits of servers has not been reported yet
     wait_queues wait_queues_;
 
     time_point started_at_ = std::chrono::steady_clock::now();
--- a/packages/gateway/include/cornelstall/gateway/process/server_notices.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_notices.hpp
@@ -13,6 +13,9 @@
 /// @param sent_at when the request was sent
 void apply_limit(gateway_state& state, const listed_server& server, const stated_limit& limit, time_point sent_at);
 
+/// @brief Merges what the VM @a sender reports about limits of servers.
+void apply_reported_limits(gateway_state& state, const vm_id& sender, const std::vector<reported_limit>& reported);
+
 /// @brief Records the servers that the VM @a sender reports as leaving.
 void apply_reported_leaving(gateway_state& state, const vm_id& sender, const std::vector<leaving_server>& leaving);
 
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -48,13 +48,16 @@
 constexpr std::chrono::seconds leaving_report_period{10};
 /// A leaving server takes about 30 bytes of a datagram.
 constexpr std::size_t max_leaving_servers = 8;
-/// Evidence about prompt parts is reported at once and then again at this interval while it is new.
-constexpr milliseconds part_report_interval{500};
+/// Evidence about prompt parts and limits of servers are reported at once and then again at this interval while they
+/// are new.
+constexpr milliseconds news_interval{500};
 /// Evidence about one prompt part takes up to about 130 bytes of a datagram.
 constexpr std::size_t max_parts_per_datagram = 8;
 /// Evidence that does not fit is reported once that with more crashes has been.
 constexpr std::size_t max_parts_reported = 32;
-/// VMs of other cells that each report about prompt parts goes to. They pass on what is new to them.
+/// The limit of one server takes up to about 50 bytes of a datagram.
+constexpr std::size_t max_limits_per_datagram = 20;
+/// VMs of other cells that each report about prompt parts and limits goes to. They pass on what is new to them.
 constexpr std::size_t other_cell_recipients = 4;
 constexpr std::size_t max_received_datagram_bytes = 65536;
 /// Requested size of the socket's receive buffer.
@@ -132,28 +135,49 @@
                           [&](const udp::endpoint& recipient) { send_datagram(exchange, bytes, recipient); });
 }
 
-/// Reports evidence about prompt parts: new evidence at once, and again at an interval because datagrams can be lost.
-void send_suspect_parts(load_exchange& exchange, time_point now)
+/// A report that carries evidence about prompt parts and limits of servers instead of load.
+load_report make_news_report(load_exchange& exchange)
+{
+    auto report = make_report(exchange, {});
+    report.log_update_only_ = true;
+    report.leaving_servers_.clear();
+    return report;
+}
+
+/// The reports with what @a entries hold, a few in each datagram, in the field that @a member names.
+template <class Entry>
+void send_entries(load_exchange& exchange, const std::vector<Entry>& entries, std::size_t per_datagram,
+                  std::vector<Entry> load_report::*member, time_point now)
+{
+    for (std::size_t first = 0; first < entries.size(); first += per_datagram)
+    {
+        auto report = make_news_report(exchange);
+        std::ranges::copy(entries | std::views::drop(first) | std::views::take(per_datagram),
+                          std::back_inserter(report.*member));
+        send_to_peers(exchange, report, now, [](const vm_peer&) { return true; });
+        send_to_other_cells(exchange, report, now);
+    }
+}
+
+/// Reports evidence about prompt parts and limits of servers: news at once, and again at an interval because datagrams
+/// can be lost.
+void send_fleet_news(load_exchange& exchange, time_point now)
 {
     auto& state = exchange.state_;
-    if (!state.part_news_ && now - exchange.parts_sent_at_ < part_report_interval)
+    if (!state.fleet_news_ && now - exchange.news_sent_at_ < news_interval)
     {
         return;
     }
+    state.fleet_news_ = false;
+    exchange.news_sent_at_ = now;
+    drop_old_parts(state);
+    drop_old_limits(state.directory_.limits_, now);
+    update_limit_shares(state.directory_, state.peers_, vm_id{state.settings_.name_}, now);
     auto parts = parts_to_report(state.suspect_parts_, now);
     parts.resize(std::min(parts.size(), max_parts_reported));
-    state.part_news_ = false;
-    exchange.parts_sent_at_ = now;
-    for (std::size_t first = 0; first < parts.size(); first += max_parts_per_datagram)
-    {
-        auto report = make_report(exchange, {});
-        report.log_update_only_ = true;
-        report.leaving_servers_.clear();
-        std::ranges::copy(parts | std::views::drop(first) | std::views::take(max_parts_per_datagram),
-                          std::back_inserter(report.suspect_parts_));
-        send_to_peers(exchange, report, now, [](const vm_peer&) { return true; });
-        send_to_other_cells(exchange, report, now);
-    }
+    send_entries(exchange, parts, max_parts_per_datagram, &load_report::suspect_parts_, now);
+    send_entries(exchange, limits_to_report(state.directory_.limits_, now), max_limits_per_datagram,
+                 &load_report::limits_, now);
 }
 
 /// Sends the changes of the server list to the VMs that lack them: at once when there are new changes, otherwise again
@@ -177,7 +201,7 @@
 
 void report_to_peers(load_exchange& exchange, time_point now)
 {
-    send_suspect_parts(exchange, now);
+    send_fleet_news(exchange, now);
     auto update = make_log_update(exchange.state_);
     send_changes(exchange, update, now);
     drop_changes_before(update, update.changes_end_);
@@ -225,9 +249,10 @@
         state.metrics_.count("gateway_load_reports_refused_total");
         return;
     }
-    if (!report->suspect_parts_.empty())
+    if (!report->suspect_parts_.empty() || !report->limits_.empty())
     {
         apply_reported_parts(state, report->vm_, report->suspect_parts_);
+        apply_reported_limits(state, report->vm_, report->limits_);
         return;
     }
     const bool is_known = state.peers_.peers_.contains(report->vm_);
@@ -295,7 +320,6 @@
         }
         detect_stall(exchange->state_);
         remove_silent_peer_load(*exchange, now);
-        drop_old_parts(exchange->state_);
         report_to_peers(*exchange, now);
         exchange->report_timer_.expires_at(now + report_interval);
     }
--- a/packages/gateway/src/process/part_guard.cpp
+++ b/packages/gateway/src/process/part_guard.cpp
@@ -45,7 +45,7 @@
     std::ranges::for_each(changes.cleared_, [&source](prompt_part_id part) { log_cleared(part, source); });
     if (changes.news_)
     {
-        state.part_news_ = true;
+        state.fleet_news_ = true;
         state.schedule_load_report_();
     }
 }
@@ -106,7 +106,7 @@
     }
     log_event(severity::info, part_tried, "one request with a blocked part of the prompt is let through",
               {{"part", text_of(blocked)}});
-    state.part_news_ = true;
+    state.fleet_news_ = true;
     state.schedule_load_report_();
     return true;
 }
--- a/packages/gateway/src/process/server_notices.cpp
+++ b/packages/gateway/src/process/server_notices.cpp
@@ -15,21 +15,29 @@
 constexpr event_kind server_limit_ended{4060, "server_limit_ended"};
 constexpr const char* own_answer = "answer";
 
-void log_limit(const server_id& server, limit_change change, std::optional<request_rate> limit,
-               const std::string& source)
+/// Logs a change and brings the shares of this VM and the reports to the other VMs up to date.
+void handle_limit_change(gateway_state& state, const changed_limit& changed, const std::string& source, time_point now)
 {
-    if (change == limit_change::named)
+    if (changed.change_ == limit_change::none)
+    {
+        return;
+    }
+    if (changed.change_ == limit_change::named)
     {
         log_event(severity::info, server_limited, "the server names a limit for the requests of all VMs together",
-                  {{"server", server.get()},
-                   {"per_s", std::to_string(limit.value_or(request_rate{}).get())},
+                  {{"server", changed.server_.get()},
+                   {"per_s", std::to_string(changed.limit_.value_or(request_rate{}).get())},
                    {"source", source}});
     }
-    if (change == limit_change::ended)
+    else
     {
         log_event(severity::info, server_limit_ended, "the server names no limit any more",
-                  {{"server", server.get()}, {"source", source}});
+                  {{"server", changed.server_.get()}, {"source", source}});
     }
+    update_limit_shares(state.directory_, state.peers_, vm_id{state.settings_.name_}, now);
+    notify_capacity_changed(state.wait_queues_);
+    state.fleet_news_ = true;
+    state.schedule_load_report_();
 }
 
 }  // namespace
@@ -59,18 +67,26 @@
 
 void apply_limit(gateway_state& state, const listed_server& server, const stated_limit& limit, time_point sent_at)
 {
+    const auto now = std::chrono::steady_clock::now();
     auto& limits = state.directory_.limits_;
     auto change = limit_change::none;
     if (!limit.stated_)
     {
-        change = record_no_limit(limits, server.id_, server.started_at_ms_, sent_at);
+        change = record_no_limit(limits, server.id_, server.started_at_ms_, sent_at, now);
     }
     else if (limit.limit_)
     {
-        change =
-            record_limit(limits, server.id_, server.started_at_ms_, *limit.limit_, std::chrono::steady_clock::now());
+        change = record_limit(limits, server.id_, server.started_at_ms_, *limit.limit_, now);
     }
-    log_limit(server.id_, change, limit.limit_, own_answer);
+    handle_limit_change(state, {server.id_, change, limit.limit_}, own_answer, now);
+}
+
+void apply_reported_limits(gateway_state& state, const vm_id& sender, const std::vector<reported_limit>& reported)
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::ranges::for_each(
+        merge_reported_limits(state.directory_.limits_, reported, now),
+        [&](const changed_limit& changed) { handle_limit_change(state, changed, sender.get(), now); });
 }
 
 void apply_reported_leaving(gateway_state& state, const vm_id& sender, const std::vector<leaving_server>& leaving)
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -213,7 +213,7 @@
 }
 
 /// Why the request must not be sent to @a server, although it was chosen for it: planning, reserving memory and
-/// connecting take time, in which the process may also have been paused.
+/// connecting take time, in which the process may also have been paused. Takes the request from the server's limit.
 /// @return a reason id, or null when the request may be sent
 const char* reason_not_to_send(const exchange& current, const listed_server& server)
 {
@@ -232,7 +232,11 @@
     {
         return "prompt_part_blocked";
     }
-    return remaining_time(current).count() <= 0 ? "time_limit_passed" : nullptr;
+    if (remaining_time(current).count() <= 0)
+    {
+        return "time_limit_passed";
+    }
+    return take_from_limit(current.state_.directory_, server.id_, now) ? nullptr : "server_limited";
 }
 
 bool is_server_failure(unsigned status)
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -49,7 +49,10 @@
     facts.time_left_ = remaining_time(current);
     if (!has_untried_server(current))
     {
-        facts.pause_ = time_until_pause_ends(state.directory_, current.service_->id_, std::chrono::steady_clock::now());
+        const auto now = std::chrono::steady_clock::now();
+        const auto pause = time_until_pause_ends(state.directory_, current.service_->id_, now);
+        const auto limited = time_until_within_limit(state.directory_, current.service_->id_, current.tried_, now);
+        facts.pause_ = pause && limited ? std::min(pause, limited) : (pause ? pause : limited);
     }
     return time_to_return(facts, std::uniform_real_distribution<double>(0.0, 1.0)(state.random_));
 }
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -211,7 +211,7 @@
 }
 
 /// Reserves the memory that @a plan needs, all or nothing, and sets the helpers of the request.
-/// @return false when an engine did not confirm its reservation; that engine is recorded as full
+/// @return false when an engine did not confirm its reservation, which is recorded as full, or has reached its limit
 task<bool> reserve_memory(exchange& current, const send_plan& plan, memory_reservations& reservations)
 {
     current.helpers_.clear();
@@ -220,6 +220,11 @@
     {
         const auto& part = plan.parts_[index];
         std::string reservation;
+        if (!take_from_limit(current.state_.directory_, part.server_.id_, std::chrono::steady_clock::now()))
+        {
+            reservations.release();
+            co_return false;
+        }
         if (part.reserved_.get() > 0)
         {
             reservation = make_reservation_id(current, index);
@@ -290,6 +295,14 @@
     waiting_order order_;
 };
 
+/// True when the limit of a server lets this VM send before the request has to be refused.
+bool can_wait_for_limit(const exchange& current, const admission_facts& facts, time_point now)
+{
+    const auto wait = time_until_within_limit(current.state_.directory_, current.service_->id_, current.tried_, now);
+    const auto longest = facts.reached_server_ ? facts.time_left_ : facts.max_wait_ - facts.waited_;
+    return wait && *wait < longest;
+}
+
 planned_step plan_step(exchange& current, const engine_hold& hold, const queue_place& place, time_point now)
 {
     planned_step step;
@@ -311,7 +324,7 @@
     facts.caller_left_ = current.watch_->disconnected_;
     facts.reached_server_ = current.connected_sends_ > 0;
     facts.queue_full_ = place.others_waiting() >= max_waiting;
-    facts.has_candidate_ = !candidates.empty();
+    facts.has_candidate_ = !candidates.empty() || can_wait_for_limit(current, facts, now);
     facts.has_place_ = step.plan_.has_value();
     facts.more_urgent_waits_ = place.is_behind(step.order_, now);
     facts.starts_in_ = step.plan_ ? step.plan_->starts_in_ : milliseconds{0};
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -1,6 +1,7 @@
 #include "cornelstall/wire/connection/load_codec.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <ranges>
 #include <unordered_map>
@@ -24,6 +25,7 @@
 constexpr std::uint32_t max_slots = 100'000;
 constexpr std::uint32_t max_priority = 1'000'000;
 constexpr std::uint32_t max_trials = 1000;
+constexpr double max_requests_per_s = 1'000'000.0;
 constexpr int max_crashes = 64;
 
 token_count decode_tokens(std::uint32_t count)
@@ -209,6 +211,27 @@
     return reported;
 }
 
+void encode_limit(load::ServerLimit& message, const reported_limit& reported, time_point now)
+{
+    message.set_id(reported.server_.get());
+    message.set_born_ms(reported.started_at_ms_);
+    message.set_ended(!reported.limit_);
+    message.set_per_s(reported.limit_.value_or(request_rate{}).get());
+    message.set_age_ms(age_ms(reported.stated_at_, now));
+}
+
+reported_limit decode_limit(const load::ServerLimit& message, time_point now)
+{
+    reported_limit reported{server_id{message.id()}, message.born_ms(), std::nullopt,
+                            now - decode_time(message.age_ms())};
+    const bool is_rate = std::isfinite(message.per_s()) && message.per_s() >= 0.0;
+    if (!message.ended() && is_rate)
+    {
+        reported.limit_ = request_rate{std::min(message.per_s(), max_requests_per_s)};
+    }
+    return reported;
+}
+
 }  // namespace
 
 std::string encode_load_report(const load_report& report, byte_count limit, time_point now)
@@ -232,6 +255,8 @@
     });
     std::ranges::for_each(report.suspect_parts_,
                           [&](const reported_part& part) { encode_part(*message.add_suspect_parts(), part, now); });
+    std::ranges::for_each(report.limits_,
+                          [&](const reported_limit& limit) { encode_limit(*message.add_limits(), limit, now); });
     std::unordered_map<server_id, std::uint32_t> indexes;
     std::size_t bytes = message.ByteSizeLong();
     for (const auto& entry : report.work_)
@@ -294,6 +319,8 @@
         });
     std::ranges::transform(message.suspect_parts(), std::back_inserter(report.suspect_parts_),
                            [now](const load::SuspectPart& part) { return decode_part(part, now); });
+    std::ranges::transform(message.limits(), std::back_inserter(report.limits_),
+                           [now](const load::ServerLimit& limit) { return decode_limit(limit, now); });
     report.log_update_ = decode_news(message.news());
     std::ranges::for_each(message.work(), [&](const load::Work& work) {
         if (work.server() < static_cast<std::uint32_t>(message.servers_size()))
--- a/tests/wire/load_codec_test.cpp
+++ b/tests/wire/load_codec_test.cpp
@@ -121,6 +121,36 @@
 }
 
 // A forecast of a prompt of 4 billion tokens keeps the process busy, and a fleet of 4 billion VMs has too many cells.
+TEST_CASE("evidence about prompt parts and limits of servers is reported with ages")
+{
+    auto written = report_with(0);
+    written.suspect_parts_ = {
+        {prompt_part_id{0x12ca9047f126},
+         {{{crash_id{5}, now - milliseconds{900}, now - milliseconds{800}}}, now - milliseconds{4000}, 2}},
+        {prompt_part_id{7}, {{{crash_id{6}, now - milliseconds{90}, now - milliseconds{10}}}, std::nullopt, 0}}};
+    written.limits_ = {{server_id{"i-1"}, 8, request_rate{1.5}, now - milliseconds{300}},
+                       {server_id{"i-2"}, 9, std::nullopt, now - milliseconds{20}}};
+    const auto later = now + milliseconds{5};
+    const auto report = decode_load_report(encode_load_report(written, byte_count{1400}, now), later);
+    REQUIRE(report);
+    REQUIRE(report->suspect_parts_.size() == 2);
+    const auto& part = report->suspect_parts_[0];
+    CHECK(part.part_ == prompt_part_id{0x12ca9047f126});
+    REQUIRE(part.evidence_.crashes_.size() == 1);
+    CHECK(part.evidence_.crashes_[0].id_ == crash_id{5});
+    CHECK(part.evidence_.crashes_[0].sent_at_ == later - milliseconds{900});
+    CHECK(part.evidence_.crashes_[0].crashed_at_ == later - milliseconds{800});
+    CHECK(part.evidence_.begun_at_ == later - milliseconds{4000});
+    CHECK(part.evidence_.trials_ == 2);
+    CHECK(report->suspect_parts_[1].evidence_.begun_at_ == std::nullopt);
+    REQUIRE(report->limits_.size() == 2);
+    CHECK(report->limits_[0].server_ == server_id{"i-1"});
+    CHECK(report->limits_[0].started_at_ms_ == 8);
+    CHECK(report->limits_[0].limit_ == request_rate{1.5});
+    CHECK(report->limits_[0].stated_at_ == later - milliseconds{300});
+    CHECK(report->limits_[1].limit_ == std::nullopt);
+}
+
 TEST_CASE("mutated reports are decoded into bounded values or refused")
 {
     constexpr int cases = 20'000;
