Take the end of a limit from genuine answers only

An answer without the server's seal, such as one of a server that spoils its answers, names no limit either, and it ended the limit until the next genuine answer named it again. A limit now begins and ends with answers that are authentic or say that the request did not run. The log of a dropped part names its source without spaces.

--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -144,7 +144,7 @@
     return report;
 }
 
-/// The reports with what @a entries hold, a few in each datagram, in the field that @a member names.
+/// Sends @a entries to the other VMs, some in each datagram, in the field @a member of the reports.
 template <class Entry>
 void send_entries(load_exchange& exchange, const std::vector<Entry>& entries, std::size_t per_datagram,
                   std::vector<Entry> load_report::*member, time_point now)
--- a/packages/gateway/src/process/part_guard.cpp
+++ b/packages/gateway/src/process/part_guard.cpp
@@ -125,7 +125,7 @@
 void drop_old_parts(gateway_state& state)
 {
     std::ranges::for_each(drop_old_parts(state.suspect_parts_, std::chrono::steady_clock::now()),
-                          [](prompt_part_id part) { log_cleared(part, "no request for minutes"); });
+                          [](prompt_part_id part) { log_cleared(part, "age"); });
 }
 
 std::string describe_parts(const gateway_state& state)
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -278,7 +278,7 @@
         co_return reject_answer(current, server, "answers_another_request");
     }
     apply_notices(current.state_, server, answer);
-    if (!answer.wrong_server_)
+    if (!answer.wrong_server_ && (answer.authentic_ || answer.did_not_run_))
     {
         apply_limit(current.state_, server, answer.limit_, sent_at);
     }
