--- a/tests/decisions/suspect_parts_property_test.cpp
+++ b/tests/decisions/suspect_parts_property_test.cpp
@@ -144,9 +144,8 @@
 
     void begin_answers()
     {
-        for (std::size_t index = 0; index < servers_.size(); ++index)
+        for (auto& server : servers_)
         {
-            auto& server = servers_[index];
             while (server.down_until_ <= now_)
             {
                 const auto due = std::ranges::find_if(
