Log who told a VM that a server leaves, and why its server list falls behind

The log could not tell the hypotheses apart: whether a removal was put off, by whom a change was learned, how old the list was at a send, and what became of the reports that should have kept it young.

4042 and 4043 name their source and the age of the list, 1023 the age at each send, 4061 a removal that is put off, 4062 the fate of the reports when a VM has to read although others do, 1032 a send that is withheld. The age at each send is a histogram, gateway_server_list_age_ms. No decision changes.

--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -13,6 +13,9 @@
 
 struct gateway_state;
 
+/// @brief Source of a change that this VM has read from the log itself.
+inline constexpr const char* log_read = "log";
+
 /// @brief A change of the server list that is still sent to other VMs.
 struct recent_change
 {
@@ -20,6 +23,16 @@
     server_list_change change_;
 };
 
+/// @brief Log updates of other VMs since the list was last confirmed, by what became of them.
+struct update_counts
+{
+    std::uint32_t applied_ = 0;       ///< confirmed the list or added changes
+    std::uint32_t out_of_order_ = 0;  ///< a later report of the VM had been received before
+    std::uint32_t after_stall_ = 0;   ///< may have waited in the socket's buffer while this process was stalled
+    std::uint32_t with_gap_ = 0;      ///< changes are missing before those of the update
+    std::uint32_t without_age_ = 0;   ///< the sender has not read the log lately
+};
+
 /// @brief What this VM knows of the platform's server list from its own reads and from other VMs.
 struct server_list
 {
@@ -32,10 +45,12 @@
     std::deque<recent_change> changes_;             ///< recent changes, for VMs that lack them
     time_point defer_removals_until_;  ///< until then a removal may be an entry that expired in an outage of the log
     std::map<server_id, log_offset> deferred_removals_;  ///< offsets of removals not applied yet
+    update_counts updates_;                              ///< since the list was last confirmed
 };
 
 /// @brief Applies a change that was read from the log or received from another VM.
-void apply_change(gateway_state& state, const server_list_change& change);
+/// @param source the VM whose report contained the change, or `log_read`; logged
+void apply_change(gateway_state& state, const server_list_change& change, const std::string& source = log_read);
 
 /// @brief Applies a read of the full list and removes the known servers that are not in it.
 /// @param listed all ids in the list, including those whose entries cannot be decoded
@@ -66,7 +81,15 @@
 /// that are known here.
 /// @param version routing table version of the sender; the table age in @a update is used only if this VM has the same
 /// version
-void apply_log_update(gateway_state& state, const log_update& update, configuration_version version);
+/// @param source the sender; logged
+void apply_log_update(gateway_state& state, const log_update& update, configuration_version version,
+                      const vm_id& source = {});
+
+/// @brief Time since the list was last known to be up to date.
+[[nodiscard]] milliseconds server_list_age(const gateway_state& state);
+
+/// @brief Logs why this VM has to read the list itself, although other VMs read it and report it.
+void log_missing_updates(const gateway_state& state);
 
 /// @brief The position, from 0, of this VM among the VMs that can read the log.
 [[nodiscard]] std::size_t own_reader_position(const gateway_state& state);
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -261,9 +261,14 @@
     {
         notify_capacity_changed(state.wait_queues_);
     }
+    auto& updates = state.server_list_.updates_;
     if (is_newer && !may_be_stale(state))
     {
-        apply_log_update(state, report->log_update_, report->version_);
+        apply_log_update(state, report->log_update_, report->version_, report->vm_);
+    }
+    else
+    {
+        ++(is_newer ? updates.after_stall_ : updates.out_of_order_);
     }
     apply_reported_leaving(state, report->vm_, report->leaving_servers_);
     update_fleet_size(state.retry_budget_, known_vms(state.peers_));
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -16,6 +16,8 @@
 
 /// Interval between checks whether a read is due.
 constexpr milliseconds check_interval{100};
+/// VMs that read the log for the others while it can be reached.
+constexpr std::size_t reader_count = 2;
 constexpr milliseconds initial_backoff{200};
 /// Longest delay between failed reads of the first two readers, which have to notice when the log is back.
 constexpr milliseconds max_reader_backoff{1000};
@@ -24,7 +26,7 @@
 
 milliseconds longest_backoff(const gateway_state& state)
 {
-    return own_reader_position(state) < 2 ? max_reader_backoff : max_follower_backoff;
+    return own_reader_position(state) < reader_count ? max_reader_backoff : max_follower_backoff;
 }
 
 struct follower
@@ -149,6 +151,7 @@
     }
     std::ranges::for_each(page.records_, [&self](const keyed_record& record) { apply_record(self, record); });
     confirm_list_read(self.state_, page.next_, requested_at);
+    list.updates_ = {};
     apply_deferred_removals(self.state_);
     self.state_.schedule_load_report_();
     co_return true;
@@ -172,6 +175,10 @@
             co_await sleep_for(check_interval);
             if (is_read_due(state, list.confirmed_at_))
             {
+                if (own_reader_position(state) >= reader_count)
+                {
+                    log_missing_updates(state);
+                }
                 const bool has_records = co_await read_changes(self);
                 can_read_changes = has_records;
             }
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -14,6 +14,8 @@
 
 constexpr event_kind server_listed{4042, "server_listed"};
 constexpr event_kind server_removed{4043, "server_removed"};
+constexpr event_kind removal_deferred{4061, "server_removal_deferred"};
+constexpr event_kind list_behind{4062, "server_list_behind"};
 
 /// This VM sends what it read itself until the read is this old. VMs that receive nothing newer read the log
 /// themselves.
@@ -31,12 +33,20 @@
 /// A VM that has been silent for three report intervals does not count as a log reader.
 constexpr milliseconds reader_silence_limit{1000};
 
-void remove_server(gateway_state& state, const server_id& id, log_offset at)
+milliseconds age_of(std::chrono::nanoseconds boot_timestamp)
+{
+    return std::chrono::duration_cast<milliseconds>(boot_time() - boot_timestamp);
+}
+
+void remove_server(gateway_state& state, const server_id& id, log_offset at, const std::string& source)
 {
     if (remove_listed_server(state.directory_, id, at))
     {
         log_event(severity::info, server_removed, "server removed from the server list",
-                  {{"server", id.get()}, {"offset", std::to_string(at.get())}});
+                  {{"server", id.get()},
+                   {"offset", std::to_string(at.get())},
+                   {"source", source},
+                   {"list_age_ms", std::to_string(server_list_age(state).count())}});
     }
 }
 
@@ -49,7 +59,7 @@
            found->second.listed_.state_ == server_state::ready;
 }
 
-void apply_upsert(gateway_state& state, const server_list_change& change)
+void apply_upsert(gateway_state& state, const server_list_change& change, const std::string& source)
 {
     state.server_list_.deferred_removals_.erase(change.server_.id_);
     if (!upsert_listed_server(state.directory_, change.server_, change.at_, std::chrono::steady_clock::now()))
@@ -62,7 +72,9 @@
               change.server_.state_ == server_state::ready ? "server listed as ready" : "server listed as draining",
               {{"server", change.server_.id_.get()},
                {"address", change.server_.address_.get()},
-               {"offset", std::to_string(change.at_.get())}});
+               {"offset", std::to_string(change.at_.get())},
+               {"source", source},
+               {"list_age_ms", std::to_string(server_list_age(state).count())}});
 }
 
 void drop_old_changes(server_list& list, time_point now)
@@ -82,18 +94,13 @@
            (change.removed_ || (endpoint && endpoint->port() != 0 && change.server_.slots_ > 0));
 }
 
-milliseconds age_of(std::chrono::nanoseconds boot_timestamp)
-{
-    return std::chrono::duration_cast<milliseconds>(boot_time() - boot_timestamp);
-}
-
 }  // namespace
 
-void apply_change(gateway_state& state, const server_list_change& change)
+void apply_change(gateway_state& state, const server_list_change& change, const std::string& source)
 {
     if (!change.removed_)
     {
-        apply_upsert(state, change);
+        apply_upsert(state, change, source);
         return;
     }
     const auto now = std::chrono::steady_clock::now();
@@ -101,9 +108,16 @@
     if (should_defer_removal(state, change.server_.id_, now))
     {
         state.server_list_.deferred_removals_[change.server_.id_] = change.at_;
+        const auto left = std::chrono::ceil<milliseconds>(state.server_list_.defer_removals_until_ - now);
+        log_event(severity::info, removal_deferred,
+                  "the entry of a ready server may have expired in an outage of the log; the server is kept for a time",
+                  {{"server", change.server_.id_.get()},
+                   {"offset", std::to_string(change.at_.get())},
+                   {"source", source},
+                   {"for_ms", std::to_string(left.count())}});
         return;
     }
-    remove_server(state, change.server_.id_, change.at_);
+    remove_server(state, change.server_.id_, change.at_, source);
 }
 
 void handle_list_recovery(gateway_state& state)
@@ -123,7 +137,7 @@
     }
     const auto due_removals = std::exchange(list.deferred_removals_, {});
     std::ranges::for_each(due_removals,
-                          [&state](const auto& entry) { remove_server(state, entry.first, entry.second); });
+                          [&state](const auto& entry) { remove_server(state, entry.first, entry.second, "deferred"); });
 }
 
 void apply_full_list(gateway_state& state, std::vector<server_list_change> entries, const std::set<server_id>& listed,
@@ -201,7 +215,8 @@
     return update;
 }
 
-void apply_log_update(gateway_state& state, const log_update& update, configuration_version version)
+void apply_log_update(gateway_state& state, const log_update& update, configuration_version version,
+                      const vm_id& source)
 {
     const auto now = boot_time();
     if (update.routing_table_age_ && state.table_ && state.table_->version_ == version)
@@ -211,12 +226,14 @@
     auto& list = state.server_list_;
     if (!list.listed_ || list.next_ < update.changes_begin_)
     {
+        ++list.updates_.with_gap_;
         return;
     }
-    std::ranges::for_each(update.changes_, [&state, known_end = list.next_](const server_list_change& change) {
+    ++(update.server_list_age_ ? list.updates_.applied_ : list.updates_.without_age_);
+    std::ranges::for_each(update.changes_, [&state, &source, known_end = list.next_](const server_list_change& change) {
         if (change.at_ >= known_end && is_usable(change))
         {
-            apply_change(state, change);
+            apply_change(state, change, source.get());
         }
     });
     list.next_ = std::max(list.next_, update.changes_end_);
@@ -227,6 +244,25 @@
     }
 }
 
+milliseconds server_list_age(const gateway_state& state)
+{
+    return age_of(state.server_list_.confirmed_at_);
+}
+
+void log_missing_updates(const gateway_state& state)
+{
+    const auto& list = state.server_list_;
+    log_event(severity::info, list_behind, "the reports of the other VMs do not keep the server list up to date",
+              {{"list_age_ms", std::to_string(server_list_age(state).count())},
+               {"position", std::to_string(own_reader_position(state))},
+               {"known_end", std::to_string(list.next_.get())},
+               {"applied", std::to_string(list.updates_.applied_)},
+               {"without_age", std::to_string(list.updates_.without_age_)},
+               {"with_gap", std::to_string(list.updates_.with_gap_)},
+               {"out_of_order", std::to_string(list.updates_.out_of_order_)},
+               {"after_stall", std::to_string(list.updates_.after_stall_)}});
+}
+
 std::size_t own_reader_position(const gateway_state& state)
 {
     return log_reader_position(state.peers_, vm_id{state.settings_.name_}, state.server_list_reachable_,
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -21,6 +21,7 @@
 using boost::asio::use_awaitable;
 using answer_parser = http::response_parser<http::buffer_body>;
 
+constexpr event_kind send_withheld{1032, "send_withheld"};
 constexpr event_kind answer_unusable{2031, "answer_unusable"};
 constexpr event_kind answer_missing{2034, "answer_missing"};
 
@@ -343,8 +344,12 @@
     {
         close_socket(*connection);
         current.state_.metrics_.count("gateway_sends_refused_total", {{"reason", reason}});
+        log_event(severity::info, send_withheld, reason,
+                  {{"request", current.parsed_request_.id_.get()}, {"server", server.id_.get()}});
         co_return send_result::did_not_run;
     }
+    current.state_.metrics_.observe("gateway_server_list_age_ms", {},
+                                    static_cast<double>(server_list_age(current.state_).count()));
     ++current.connected_sends_;
     const auto sent_at = std::chrono::steady_clock::now();
     current.watch_->backend_connection_ = connection;
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -173,7 +173,8 @@
                {"send", std::to_string(current.sends_)},
                {"considered", std::to_string(plan.considered_)},
                {"first_token_ms", std::to_string(plan.forecast_.first_token_.count())},
-               {"fits", plan.forecast_.fits_ ? "1" : "0"}});
+               {"fits", plan.forecast_.fits_ ? "1" : "0"},
+               {"list_age_ms", std::to_string(server_list_age(current.state_).count())}});
     std::ranges::for_each(plan.parts_, [&](const joint_prefill_part& part) {
         if (part.work_.is_helper_)
         {
@@ -334,8 +335,6 @@
 
 void log_wait(const exchange& current, const planned_step& step, const queue_place& place)
 {
-    const auto list_age =
-        std::chrono::duration_cast<milliseconds>(boot_time() - current.state_.server_list_.confirmed_at_);
     log_event(severity::info, request_waited, step.decision_.reason_,
               {{"request", current.parsed_request_.id_.get()},
                {"action", step.decision_.action_ == admission_action::send ? "send" : "refuse"},
@@ -345,7 +344,7 @@
                {"others_waiting", std::to_string(place.others_waiting())},
                {"slots_used", std::to_string(step.usage_.slots_used_share_)},
                {"organisation_share", std::to_string(step.usage_.share_of_fair_)},
-               {"list_age_ms", std::to_string(list_age.count())}});
+               {"list_age_ms", std::to_string(server_list_age(current.state_).count())}});
 }
 
 /// Time after which the request looks for a place again unless an event wakes it before.
