--- a/tests/gateway/server_list_test.cpp
+++ b/tests/gateway/server_list_test.cpp
@@ -190,6 +190,41 @@
     CHECK_FALSE(state.directory_.servers_.contains(server_id{"b"}));
 }
 
+TEST_CASE("servers that renew their entries after a log outage are kept by all VMs")
+{
+    // The VM that read the log deferred the removals, the others applied them at once. The renewals changed nothing for
+    // the first VM, so it did not report them, and the others never got their servers back.
+    gateway_fixture reader;
+    gateway_fixture other;
+    const auto outage_begin = boot_time() - std::chrono::seconds{10};
+    for (auto* const state : {&reader.state_, &other.state_})
+    {
+        apply_change(*state, make_change("a", 1, server_state::ready));
+        apply_change(*state, make_change("b", 2, server_state::ready));
+        confirm_list_read(*state, log_offset{3}, outage_begin);
+    }
+    auto& lagging_vm = reader.state_.peers_.peers_[vm_id{"vm-2"}];
+    lagging_vm.heard_at_ = std::chrono::steady_clock::now();
+    lagging_vm.server_list_end_ = log_offset{3};
+    handle_list_recovery(reader.state_);
+    apply_change(reader.state_, make_change("a", 3, server_state::ready, true));
+    apply_change(reader.state_, make_change("b", 4, server_state::ready, true));
+    confirm_list_read(reader.state_, log_offset{5}, boot_time());
+    apply_log_update(other.state_, make_log_update(reader.state_), {});
+    CHECK(other.state_.directory_.servers_.size() == 2);
+    apply_change(reader.state_, make_change("a", 5, server_state::ready));
+    confirm_list_read(reader.state_, log_offset{6}, boot_time());
+    lagging_vm.server_list_end_ = log_offset{5};
+    apply_log_update(other.state_, make_log_update(reader.state_), {});
+    for (auto* const state : {&reader.state_, &other.state_})
+    {
+        state->server_list_.defer_removals_until_ = std::chrono::steady_clock::now();
+        apply_deferred_removals(*state);
+        CHECK(state->directory_.servers_.contains(server_id{"a"}));
+        CHECK_FALSE(state->directory_.servers_.contains(server_id{"b"}));
+    }
+}
+
 TEST_CASE("a removal is applied at once if another VM could read the log meanwhile")
 {
     // Guards against a VM that takes the recovery of its own connection to the log for the end of a log outage. It kept
