Count the time that a report waited before it was handled

What callers saw: single VMs sent requests to servers that had said they leave, up to 2.75 s after the other VMs knew (bound 3 s).

Cause: the ages in a report hold when it is sent. On a VM of 0.12 cores under load, reports wait in the socket's buffer for a second and more; they were applied one by one and taken for fresh. The VM believed its list to be 0.98 s old when it was 2.1 s old, and so neither read the log nor knew that it was behind.

Change: reports carry their sender's clock; the delay beyond the fastest report of that VM is added to the ages. All reports that wait are read at once, and of the load reports of a VM only the last is applied. The special case for stalls goes.

--- a/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "cornelstall/decisions/connection/log_update.hpp"
+#include "cornelstall/decisions/connection/transit_time.hpp"
 #include "cornelstall/decisions/process/suspect_parts.hpp"
 #include "cornelstall/decisions/request/server_choice.hpp"
 
@@ -23,6 +24,7 @@
     vm_id vm_;
     incarnation incarnation_;  ///< increases with each process start; a higher value replaces a lower one
     std::uint64_t sequence_ = 0;
+    std::optional<milliseconds> sent_at_;  ///< the sender's clock, which goes on while the VM is suspended
     socket_address address_;
     data_centre_id data_centre_;
     std::vector<reported_work> work_;
@@ -48,6 +50,7 @@
     bool log_reachable_ = false;
     log_offset server_list_end_;  ///< the VM knows the server list up to, but not including, this offset
     data_centre_id data_centre_;
+    transit_clock transit_;
 };
 
 /// @brief The other VMs by id.
@@ -61,7 +64,18 @@
 /// counts that other VMs report.
 [[nodiscard]] std::size_t known_vms(const vm_peers& peers);
 
+/// @brief How much longer than usual @a report took to arrive and to be handled.
+/// @param clock this VM's clock now, which goes on while the VM is suspended
+[[nodiscard]] milliseconds time_in_transit(vm_peers& peers, const load_report& report, std::chrono::nanoseconds clock);
+
+/// @brief Removes the load reports that are followed by a later one of the same VM. Reports that carry no load stay.
+void drop_superseded(std::vector<load_report>& reports);
+
+/// @brief Adds @a delay to the ages in @a report, so that they hold at the time when the report is handled.
+void add_delay(load_report& report, milliseconds delay);
+
 /// @brief Applies @a report to @a peers and @a load.
+/// @param now when the report arrived, without the time for which it waited to be handled
 /// @return false when the report is not newer than the last one applied
 bool apply_report(vm_peers& peers, fleet_load& load, const load_report& report, time_point now);
 
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <set>
 
 #include <xxhash.h>
 
@@ -71,6 +72,40 @@
     return std::max(peers.peers_.size() + 1, peers.max_vms_reported_);
 }
 
+milliseconds time_in_transit(vm_peers& peers, const load_report& report, std::chrono::nanoseconds clock)
+{
+    auto& peer = peers.peers_[report.vm_];
+    if (peer.incarnation_ != report.incarnation_)
+    {
+        peer.transit_ = transit_clock{};
+    }
+    return record_transit(peer.transit_, report.sent_at_, clock);
+}
+
+void drop_superseded(std::vector<load_report>& reports)
+{
+    std::set<std::pair<vm_id, incarnation>> later;
+    std::vector<load_report> kept;
+    std::ranges::for_each(reports | std::views::reverse, [&](load_report& report) {
+        if (report.log_update_only_ || later.emplace(report.vm_, report.incarnation_).second)
+        {
+            kept.push_back(std::move(report));
+        }
+    });
+    std::ranges::reverse(kept);
+    reports = std::move(kept);
+}
+
+void add_delay(load_report& report, milliseconds delay)
+{
+    const auto add = [delay](std::optional<milliseconds>& age) {
+        age = age ? std::optional(*age + delay) : std::nullopt;
+    };
+    add(report.log_update_.routing_table_age_);
+    add(report.log_update_.server_list_age_);
+    std::ranges::for_each(report.leaving_servers_, [delay](leaving_server& server) { server.age_ += delay; });
+}
+
 bool apply_report(vm_peers& peers, fleet_load& load, const load_report& report, time_point now)
 {
     auto& peer = peers.peers_[report.vm_];
@@ -108,7 +143,8 @@
                    report.version_,
                    report.log_update_.log_reachable_,
                    report.log_update_.server_list_end_,
-                   report.data_centre_};
+                   report.data_centre_,
+                   peer.transit_};
     if (report.leaving_ && report.work_.empty())
     {
         peers.peers_.erase(report.vm_);
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -54,10 +54,6 @@
     /// Brings the next load report forward; set by the load exchange.
     std::function<void()> schedule_load_report_ = [] {
     };
-    std::chrono::nanoseconds last_report_at_{0};  ///< boot time; a long gap means that this process was stalled
-    /// Boot time until which received log updates are ignored, because they may have waited in the socket's buffer
-    /// while this process was stalled, so that the ages in them are too low.
-    std::chrono::nanoseconds ignore_updates_until_{0};
 
     buffer_budget answer_buffers_;
     bool stopping_ = false;          ///< SIGTERM or SIGINT was received
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -28,9 +28,9 @@
 {
     std::uint32_t applied_ = 0;       ///< confirmed the list or added changes
     std::uint32_t out_of_order_ = 0;  ///< a later report of the VM had been received before
-    std::uint32_t after_stall_ = 0;   ///< may have waited in the socket's buffer while this process was stalled
     std::uint32_t with_gap_ = 0;      ///< changes are missing before those of the update
     std::uint32_t without_age_ = 0;   ///< the sender has not read the log lately
+    milliseconds longest_delay_{0};   ///< of a report until it was handled, beyond the usual time
 };
 
 /// @brief What this VM knows of the platform's server list from its own reads and from other VMs.
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -33,10 +33,6 @@
 constexpr milliseconds peer_silence_timeout{1500};
 /// A VM that has been silent for this long is not sent reports until it reports again.
 constexpr std::chrono::seconds peer_unreachable_timeout{30};
-/// A longer gap than three report intervals between two reports means that this process was suspended or stalled.
-constexpr milliseconds stall_threshold{900};
-/// Time after a stall in which datagrams that were buffered during the stall may still be read.
-constexpr milliseconds stale_datagram_period{300};
 /// Fits one Ethernet frame, so that a report is not fragmented.
 constexpr byte_count max_sent_datagram{1400};
 /// One change of the server list takes about 100 bytes of a datagram.
@@ -60,6 +56,8 @@
 /// VMs of other cells that each report about prompt parts and limits goes to. They pass on what is new to them.
 constexpr std::size_t other_cell_recipients = 4;
 constexpr std::size_t max_received_datagram_bytes = 65536;
+/// Datagrams that are read before other work of the process goes on.
+constexpr std::size_t max_datagrams_per_turn = 512;
 /// Requested size of the socket's receive buffer.
 constexpr int receive_buffer_bytes = 262144;
 
@@ -70,6 +68,7 @@
     report.vm_ = vm_id{state.settings_.name_};
     report.incarnation_ = state.incarnation_;
     report.sequence_ = ++exchange.sequence_;
+    report.sent_at_ = std::chrono::duration_cast<milliseconds>(boot_time());
     report.address_ = socket_address{state.settings_.ip_ + ":" + std::to_string(state.settings_.load_port_)};
     report.data_centre_ = state.settings_.data_centre_;
     report.version_ = state.table_ ? state.table_->version_ : configuration_version{};
@@ -220,63 +219,96 @@
         });
 }
 
-/// Detects that this process was stalled since its last report. Datagrams that were buffered in the meantime state data
-/// ages that are too low by the time they waited, so their log updates are ignored for a while.
-void detect_stall(gateway_state& state)
+/// True for a report with evidence about prompt parts or limits of servers, which may come from another cell.
+bool is_fleet_news(const load_report& report)
 {
-    const auto now = boot_time();
-    if (now - state.last_report_at_ > stall_threshold)
-    {
-        state.ignore_updates_until_ = now + stale_datagram_period;
-    }
-    state.last_report_at_ = now;
+    return !report.suspect_parts_.empty() || !report.limits_.empty();
 }
 
-/// True when a datagram that is read now may have been buffered during a stall.
-bool may_be_stale(const gateway_state& state)
+void apply_fleet_news(gateway_state& state, const load_report& report)
 {
-    const auto now = boot_time();
-    return now - state.last_report_at_ > stall_threshold || now < state.ignore_updates_until_;
+    apply_reported_parts(state, report.vm_, report.suspect_parts_);
+    apply_reported_limits(state, report.vm_, report.limits_);
 }
 
-void handle_datagram(load_exchange& exchange, std::string_view bytes)
+void apply_load(gateway_state& state, load_report report)
 {
-    auto& state = exchange.state_;
-    const auto now = std::chrono::steady_clock::now();
-    const auto report = decode_load_report(bytes, now);
-    if (!report || report->vm_.get() == state.settings_.name_)
-    {
-        state.metrics_.count("gateway_load_reports_refused_total");
-        return;
-    }
-    if (!report->suspect_parts_.empty() || !report->limits_.empty())
-    {
-        apply_reported_parts(state, report->vm_, report->suspect_parts_);
-        apply_reported_limits(state, report->vm_, report->limits_);
-        return;
-    }
-    const bool is_known = state.peers_.peers_.contains(report->vm_);
-    const bool is_newer = apply_report(state.peers_, state.fleet_load_, *report, now);
-    if (is_newer && !report->log_update_only_)
+    const auto delay = time_in_transit(state.peers_, report, boot_time());
+    auto& updates = state.server_list_.updates_;
+    updates.longest_delay_ = std::max(updates.longest_delay_, delay);
+    state.metrics_.observe("gateway_report_delay_ms", {}, static_cast<double>(delay.count()));
+    add_delay(report, delay);
+    const bool is_newer =
+        apply_report(state.peers_, state.fleet_load_, report, std::chrono::steady_clock::now() - delay);
+    if (is_newer && !report.log_update_only_)
     {
         notify_capacity_changed(state.wait_queues_);
     }
-    auto& updates = state.server_list_.updates_;
-    if (is_newer && !may_be_stale(state))
+    if (is_newer)
     {
-        apply_log_update(state, report->log_update_, report->version_, report->vm_);
+        apply_log_update(state, report.log_update_, report.version_, report.vm_);
     }
     else
     {
-        ++(is_newer ? updates.after_stall_ : updates.out_of_order_);
+        ++updates.out_of_order_;
     }
-    apply_reported_leaving(state, report->vm_, report->leaving_servers_);
-    update_fleet_size(state.retry_budget_, known_vms(state.peers_));
-    if (!is_known)
+    apply_reported_leaving(state, report.vm_, report.leaving_servers_);
+}
+
+std::optional<load_report> decode_received(load_exchange& exchange, std::string_view bytes)
+{
+    auto& state = exchange.state_;
+    auto report = decode_load_report(bytes, std::chrono::steady_clock::now());
+    if (!report || report->vm_.get() == state.settings_.name_)
+    {
+        state.metrics_.count("gateway_load_reports_refused_total");
+        return std::nullopt;
+    }
+    if (!state.peers_.peers_.contains(report->vm_))
     {
         log_event(severity::info, peer_found, "received a load report from a new VM",
                   {{"vm", report->vm_.get()}, {"address", report->address_.get()}});
     }
+    return report;
+}
+
+/// Reads the datagrams that wait in the socket's buffer. A VM whose processor is overloaded would otherwise work off
+/// reports that newer ones have replaced, and fall behind further with each.
+std::vector<load_report> read_waiting(load_exchange& exchange)
+{
+    std::vector<load_report> reports;
+    std::vector<char> bytes(max_received_datagram_bytes);
+    udp::endpoint sender;
+    boost::system::error_code none_left;
+    for (std::size_t read = 0; read < max_datagrams_per_turn; ++read)
+    {
+        const auto size = exchange.socket_.receive_from(boost::asio::buffer(bytes), sender, 0, none_left);
+        if (none_left)
+        {
+            break;
+        }
+        if (auto report = decode_received(exchange, std::string_view(bytes.data(), size)))
+        {
+            reports.push_back(std::move(*report));
+        }
+    }
+    return reports;
+}
+
+void handle_waiting(load_exchange& exchange)
+{
+    auto& state = exchange.state_;
+    auto reports = read_waiting(exchange);
+    drop_superseded(reports);
+    std::ranges::for_each(reports, [&state](load_report& report) {
+        if (is_fleet_news(report))
+        {
+            apply_fleet_news(state, report);
+            return;
+        }
+        apply_load(state, std::move(report));
+    });
+    update_fleet_size(state.retry_budget_, known_vms(state.peers_));
 }
 
 }  // namespace
@@ -298,16 +330,13 @@
 
 task<> receive_load(std::shared_ptr<load_exchange> exchange)
 {
-    std::vector<char> bytes(max_received_datagram_bytes);
-    udp::endpoint sender;
     while (exchange->socket_.is_open())
     {
         boost::system::error_code failed;
-        const auto size = co_await exchange->socket_.async_receive_from(boost::asio::buffer(bytes), sender,
-                                                                        redirect_error(use_awaitable, failed));
+        co_await exchange->socket_.async_wait(udp::socket::wait_read, redirect_error(use_awaitable, failed));
         if (!failed)
         {
-            handle_datagram(*exchange, std::string_view(bytes.data(), size));
+            handle_waiting(*exchange);
         }
     }
 }
@@ -323,7 +352,6 @@
         {
             continue;
         }
-        detect_stall(exchange->state_);
         remove_silent_peer_load(*exchange, now);
         report_to_peers(*exchange, now);
         exchange->report_timer_.expires_at(now + report_interval);
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -260,7 +260,7 @@
                {"without_age", std::to_string(list.updates_.without_age_)},
                {"with_gap", std::to_string(list.updates_.with_gap_)},
                {"out_of_order", std::to_string(list.updates_.out_of_order_)},
-               {"after_stall", std::to_string(list.updates_.after_stall_)}});
+               {"longest_delay_ms", std::to_string(list.updates_.longest_delay_.count())}});
 }
 
 std::size_t own_reader_position(const gateway_state& state)
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint32_t max_trials = 1000;
 constexpr double max_requests_per_s = 1'000'000.0;
 constexpr int max_crashes = 64;
+/// Ten years in milliseconds; a clock that counts from the start of a machine does not get there.
+constexpr std::uint64_t max_clock_ms = 315'360'000'000;
 
 token_count decode_tokens(std::uint32_t count)
 {
@@ -240,6 +242,7 @@
     message.set_vm(report.vm_.get());
     message.set_incarnation(report.incarnation_.get());
     message.set_sequence(report.sequence_);
+    message.set_sent_at_ms_plus_1(report.sent_at_ ? static_cast<std::uint64_t>(report.sent_at_->count()) + 1 : 0);
     message.set_address(report.address_.get());
     message.set_data_centre(report.data_centre_.get());
     message.set_configuration_version(report.version_.get());
@@ -307,6 +310,10 @@
     report.vm_ = vm_id{message.vm()};
     report.incarnation_ = incarnation{message.incarnation()};
     report.sequence_ = message.sequence();
+    if (message.sent_at_ms_plus_1() > 0)
+    {
+        report.sent_at_ = milliseconds{std::min(message.sent_at_ms_plus_1(), max_clock_ms) - 1};
+    }
     report.address_ = socket_address{message.address()};
     report.data_centre_ = data_centre_id{message.data_centre()};
     report.version_ = configuration_version{message.configuration_version()};
