Defer removals after an outage of the log at all VMs alike, and pass on renewals

Cause: the VM that read the log first deferred the removals of all 67 servers and passed them on; 75 VMs applied them at once. When the servers renewed their entries, nothing changed for the first VM, so it did not pass the renewals on, and 36 servers stayed away for good. What a VM passed on was the difference to its own view, not what the log holds. A removal that had been deferred was also applied only at the next read after the grace period, began it anew with each return of the log, and was forgotten for an entry older than itself.

Change: the VM that notices the outage reports the grace period, and those that hear of it defer as long. Each newer record is passed on, whether or not it changes anything here. A deferred removal has a time of its own, within 0.9 of the staleness bound after it was learned, and is applied then unless the log is away again. Older entries do not undo it.

'an entry from before a deferred removal*' and 'a deferred removal is due*' are new. 'after a log outage a removed ready server*' now confirms the list after the return, as each read does, because removals wait while the log is away.

--- a/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
@@ -25,9 +25,14 @@
     log_offset changes_begin_;                       ///< first offset covered by `changes_`
     log_offset changes_end_;                         ///< one past the last offset covered by `changes_`
     std::vector<server_list_change> changes_;        ///< ordered by offset
-    log_offset server_list_end_;  ///< one past the last offset known to the VM, from the log or from other VMs
+    log_offset server_list_end_;     ///< one past the last offset known to the VM, from the log or from other VMs
+    milliseconds removal_grace_{0};  ///< removals are deferred for so long after an outage that the VM has noticed
 };
 
+/// @brief When a removal that was learned at @a learned_at is applied although the entry may only have expired in an
+/// outage of the log: at the end of the grace period, but early enough that no request is sent after @a bound.
+[[nodiscard]] time_point removal_due(time_point learned_at, time_point grace_end, milliseconds bound);
+
 /// @brief The data age at which the VM at @a position reads the log itself. Later positions wait longer, so that one
 /// read serves all VMs while the first readers are alive.
 /// @param bound age that the data must not exceed
--- a/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -73,6 +73,9 @@
     milliseconds age_{0};              ///< time since the server said so
 };
 
+/// @brief True when nothing as new as an entry at @a offset is known of the server @a id.
+[[nodiscard]] bool is_newer_entry(const server_directory& directory, const server_id& id, log_offset offset);
+
 /// @brief Adds or updates @a entry, read at @a offset. A restart under the same id discards all observations.
 /// @return true when the server is new, was restarted or changed its state
 bool upsert_listed_server(server_directory& directory, listed_server entry, log_offset offset, time_point now);
--- a/packages/decisions/src/connection/log_update.cpp
+++ b/packages/decisions/src/connection/log_update.cpp
@@ -15,6 +15,9 @@
 constexpr double first_poll_share = 0.3;
 constexpr double second_poll_share = 0.5;
 constexpr double max_poll_share = 0.75;
+/// Share of the bound for which a server may be used after its removal was learned; the rest is for requests that have
+/// been placed by then.
+constexpr double max_deferral_share = 0.9;
 /// Staggers the other VMs, so that a fleet that lost its readers does not read all at once.
 constexpr milliseconds poll_delay_step{20};
 
@@ -35,6 +38,11 @@
     return std::min(share_of(bound, max_poll_share), share_of(bound, second_poll_share) + poll_delay_step * steps);
 }
 
+time_point removal_due(time_point learned_at, time_point grace_end, milliseconds bound)
+{
+    return std::min(grace_end, learned_at + share_of(bound, max_deferral_share));
+}
+
 std::vector<log_update> split_log_update(const log_update& update, std::size_t max_changes)
 {
     std::vector<log_update> parts;
--- a/packages/decisions/src/process/server_directory.cpp
+++ b/packages/decisions/src/process/server_directory.cpp
@@ -74,6 +74,14 @@
 
 }  // namespace
 
+bool is_newer_entry(const server_directory& directory, const server_id& id, log_offset offset)
+{
+    const auto removed = directory.removed_.find(id);
+    const auto listed = directory.servers_.find(id);
+    return (removed == directory.removed_.end() || removed->second < offset) &&
+           (listed == directory.servers_.end() || listed->second.record_offset_ < offset);
+}
+
 bool upsert_listed_server(server_directory& directory, listed_server entry, log_offset offset, time_point now)
 {
     const auto removed = directory.removed_.find(entry.id_);
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -23,6 +23,13 @@
     server_list_change change_;
 };
 
+/// @brief A removal that is not applied yet, because the entry may only have expired in an outage of the log.
+struct deferred_removal
+{
+    log_offset at_;
+    time_point due_at_;
+};
+
 /// @brief Log updates of other VMs since the list was last confirmed, by what became of them.
 struct update_counts
 {
@@ -44,8 +51,9 @@
     log_offset changes_begin_;                      ///< `changes_` is complete from here to `next_`
     std::deque<recent_change> changes_;             ///< recent changes, for VMs that lack them
     time_point defer_removals_until_;  ///< until then a removal may be an entry that expired in an outage of the log
-    std::map<server_id, log_offset> deferred_removals_;  ///< offsets of removals not applied yet
-    update_counts updates_;                              ///< since the list was last confirmed
+    time_point reported_grace_end_;    ///< as before, if this VM noticed the outage itself; reports carry it
+    std::map<server_id, deferred_removal> deferred_removals_;
+    update_counts updates_;  ///< since the list was last confirmed
 };
 
 /// @brief Applies a change that was read from the log or received from another VM.
@@ -62,7 +70,8 @@
 /// period: servers could not renew their entries during the outage either.
 void handle_list_recovery(gateway_state& state);
 
-/// @brief After the grace period, removes the servers that have not renewed their entries.
+/// @brief Removes the servers that have not renewed their entries within the grace period, unless the log is away
+/// again.
 void apply_deferred_removals(gateway_state& state);
 
 /// @brief Records that the list is known up to, but not including, @a next and was up to date at @a confirmed_at.
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -173,6 +173,7 @@
         while (can_read_changes)
         {
             co_await sleep_for(check_interval);
+            apply_deferred_removals(state);
             if (is_read_due(state, list.confirmed_at_))
             {
                 if (own_reader_position(state) >= reader_count)
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -61,12 +61,24 @@
 
 void apply_upsert(gateway_state& state, const server_list_change& change, const std::string& source)
 {
-    state.server_list_.deferred_removals_.erase(change.server_.id_);
-    if (!upsert_listed_server(state.directory_, change.server_, change.at_, std::chrono::steady_clock::now()))
+    auto& list = state.server_list_;
+    const auto now = std::chrono::steady_clock::now();
+    const auto deferred = list.deferred_removals_.find(change.server_.id_);
+    const bool is_outdated = deferred != list.deferred_removals_.end() && change.at_ <= deferred->second.at_;
+    if (is_outdated)
+    {
+        return;
+    }
+    if (is_newer_entry(state.directory_, change.server_.id_, change.at_))
+    {
+        // Also when nothing changes here: VMs that have applied a removal that was deferred here need the entry.
+        list.changes_.push_back({now, change});
+        list.deferred_removals_.erase(change.server_.id_);
+    }
+    if (!upsert_listed_server(state.directory_, change.server_, change.at_, now))
     {
         return;
     }
-    state.server_list_.changes_.push_back({std::chrono::steady_clock::now(), change});
     notify_capacity_changed(state.wait_queues_);
     log_event(severity::info, server_listed,
               change.server_.state_ == server_state::ready ? "server listed as ready" : "server listed as draining",
@@ -107,8 +119,9 @@
     state.server_list_.changes_.push_back({now, change});
     if (should_defer_removal(state, change.server_.id_, now))
     {
-        state.server_list_.deferred_removals_[change.server_.id_] = change.at_;
-        const auto left = std::chrono::ceil<milliseconds>(state.server_list_.defer_removals_until_ - now);
+        const auto due = removal_due(now, state.server_list_.defer_removals_until_, state.settings_.staleness_bound_);
+        state.server_list_.deferred_removals_[change.server_.id_] = {change.at_, due};
+        const auto left = std::chrono::ceil<milliseconds>(due - now);
         log_event(severity::info, removal_deferred,
                   "the entry of a ready server may have expired in an outage of the log; the server is kept for a time",
                   {{"server", change.server_.id_.get()},
@@ -124,20 +137,27 @@
 {
     if (age_of(state.server_list_.confirmed_at_) >= min_expiry_outage)
     {
-        state.server_list_.defer_removals_until_ = std::chrono::steady_clock::now() + removal_grace_period;
+        auto& list = state.server_list_;
+        list.reported_grace_end_ = std::chrono::steady_clock::now() + removal_grace_period;
+        list.defer_removals_until_ = list.reported_grace_end_;
     }
 }
 
 void apply_deferred_removals(gateway_state& state)
 {
-    auto& list = state.server_list_;
-    if (list.deferred_removals_.empty() || std::chrono::steady_clock::now() < list.defer_removals_until_)
+    auto& removals = state.server_list_.deferred_removals_;
+    if (removals.empty() || server_list_age(state) >= min_expiry_outage)
     {
         return;
     }
-    const auto due_removals = std::exchange(list.deferred_removals_, {});
-    std::ranges::for_each(due_removals,
-                          [&state](const auto& entry) { remove_server(state, entry.first, entry.second, "deferred"); });
+    std::erase_if(removals, [&state, now = std::chrono::steady_clock::now()](const auto& entry) {
+        const bool is_due = entry.second.due_at_ <= now;
+        if (is_due)
+        {
+            remove_server(state, entry.first, entry.second.at_, "deferred");
+        }
+        return is_due;
+    });
 }
 
 void apply_full_list(gateway_state& state, std::vector<server_list_change> entries, const std::set<server_id>& listed,
@@ -196,6 +216,8 @@
     log_update update;
     update.log_reachable_ = state.server_list_reachable_;
     update.server_list_end_ = list.listed_ ? list.next_ : log_offset{0};
+    update.removal_grace_ =
+        std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(list.reported_grace_end_ - now));
     if (state.table_ && age_of(state.table_read_at_) < max_own_read_age)
     {
         update.routing_table_age_ = age_of(state.table_own_confirmed_at_);
@@ -230,6 +252,9 @@
         return;
     }
     ++(update.server_list_age_ ? list.updates_.applied_ : list.updates_.without_age_);
+    list.defer_removals_until_ =
+        std::max(list.defer_removals_until_,
+                 std::chrono::steady_clock::now() + std::min(update.removal_grace_, removal_grace_period));
     std::ranges::for_each(update.changes_, [&state, &source, known_end = list.next_](const server_list_change& change) {
         if (change.at_ >= known_end && is_usable(change))
         {
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -160,6 +160,8 @@
     message.set_list_from(news.changes_begin_.get());
     message.set_list_next(news.changes_end_.get());
     message.set_list_known(news.server_list_end_.get());
+    message.set_removal_grace_ms(
+        static_cast<std::uint32_t>(std::clamp<std::int64_t>(news.removal_grace_.count(), 0, max_time_ms)));
     std::ranges::for_each(
         news.changes_, [&message](const server_list_change& change) { encode_change(*message.add_changes(), change); });
 }
@@ -173,6 +175,7 @@
     news.changes_begin_ = log_offset{message.list_from()};
     news.changes_end_ = log_offset{message.list_next()};
     news.server_list_end_ = log_offset{message.list_known()};
+    news.removal_grace_ = decode_time(message.removal_grace_ms());
     std::ranges::transform(message.changes(), std::back_inserter(news.changes_), decode_change);
     return news;
 }
--- a/tests/gateway/server_list_test.cpp
+++ b/tests/gateway/server_list_test.cpp
@@ -21,6 +21,14 @@
     return change;
 }
 
+/// Makes the deferred removals of @a state due.
+void end_grace_period(gateway_state& state)
+{
+    const auto now = std::chrono::steady_clock::now();
+    state.server_list_.defer_removals_until_ = now;
+    std::ranges::for_each(state.server_list_.deferred_removals_, [now](auto& entry) { entry.second.due_at_ = now; });
+}
+
 log_update make_update(std::uint64_t begin, std::uint64_t end, std::vector<server_list_change> changes)
 {
     log_update update;
@@ -184,12 +192,44 @@
     apply_change(state, make_change("c", 6, server_state::ready, true));
     CHECK(state.directory_.servers_.size() == 2);
     apply_change(state, make_change("a", 7, server_state::ready));
-    state.server_list_.defer_removals_until_ = std::chrono::steady_clock::now();
+    confirm_list(state, log_offset{8}, boot_time());
+    end_grace_period(state);
     apply_deferred_removals(state);
     CHECK(state.directory_.servers_.contains(server_id{"a"}));
     CHECK_FALSE(state.directory_.servers_.contains(server_id{"b"}));
 }
 
+TEST_CASE("an entry from before a deferred removal does not bring the server back")
+{
+    gateway_fixture gateway;
+    auto& state = gateway.state_;
+    apply_change(state, make_change("a", 1, server_state::ready));
+    state.server_list_.confirmed_at_ = boot_time() - std::chrono::seconds{10};
+    handle_list_recovery(state);
+    apply_change(state, make_change("a", 5, server_state::ready, true));
+    apply_change(state, make_change("a", 3, server_state::ready));
+    confirm_list(state, log_offset{6}, boot_time());
+    end_grace_period(state);
+    apply_deferred_removals(state);
+    CHECK(state.directory_.servers_.empty());
+}
+
+TEST_CASE("a deferred removal is due within the bound however often the log goes away and returns")
+{
+    // Each return of the log began the grace period anew for all removals.
+    gateway_fixture gateway;
+    auto& state = gateway.state_;
+    apply_change(state, make_change("a", 1, server_state::ready));
+    state.server_list_.confirmed_at_ = boot_time() - std::chrono::seconds{10};
+    handle_list_recovery(state);
+    apply_change(state, make_change("a", 2, server_state::ready, true));
+    const auto due = state.server_list_.deferred_removals_.at(server_id{"a"}).due_at_;
+    CHECK(due < std::chrono::steady_clock::now() + state.settings_.staleness_bound_);
+    state.server_list_.confirmed_at_ = boot_time() - std::chrono::seconds{10};
+    handle_list_recovery(state);
+    CHECK(state.server_list_.deferred_removals_.at(server_id{"a"}).due_at_ == due);
+}
+
 TEST_CASE("servers that renew their entries after a log outage are kept by all VMs")
 {
     // The VM that read the log deferred the removals, the others applied them at once. The renewals changed nothing for
@@ -218,7 +258,7 @@
     apply_log_update(other.state_, make_log_update(reader.state_), {});
     for (auto* const state : {&reader.state_, &other.state_})
     {
-        state->server_list_.defer_removals_until_ = std::chrono::steady_clock::now();
+        end_grace_period(*state);
         apply_deferred_removals(*state);
         CHECK(state->directory_.servers_.contains(server_id{"a"}));
         CHECK_FALSE(state->directory_.servers_.contains(server_id{"b"}));
