Destroy the tasks of open requests before the state that they refer to

What operators saw: nothing yet. A process that is stopped while a request is open at the end of the grace period ended with SIGSEGV instead of exit code 0; callers' connections closed all the same.

Cause: run_gateway declares the I/O context before the state, so the state goes first and the suspended tasks of open requests, which the context destroys, refer to it.

Change: a guard destroys the suspended tasks at the end of run_gateway while the state lives. The test passes.

--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -41,6 +41,31 @@
 /// Page of the metrics listener with the prompt parts that are suspected of crashing servers.
 constexpr const char* prompt_parts_path = "/prompt-parts";
 
+/// An I/O context whose suspended tasks can be destroyed before what they refer to.
+struct gateway_context : boost::asio::io_context
+{
+    using execution_context::shutdown;
+    using io_context::io_context;
+};
+
+/// Destroys the suspended tasks of a context at the end of its scope.
+class task_guard
+{
+  public:
+    explicit task_guard(gateway_context& context) : context_(context) {}
+    task_guard(const task_guard&) = delete;
+    task_guard& operator=(const task_guard&) = delete;
+    task_guard(task_guard&&) = delete;
+    task_guard& operator=(task_guard&&) = delete;
+    ~task_guard()
+    {
+        context_.shutdown();
+    }
+
+  private:
+    gateway_context& context_;
+};
+
 struct listeners
 {
     tcp::acceptor callers_;
@@ -172,7 +197,7 @@
 int run_gateway(const gateway_settings& settings, const gateway_protocol& protocol, const gateway_callbacks& callbacks)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    boost::asio::io_context context(1);
+    gateway_context context(1);
     gateway_state state(settings, protocol, context.get_executor());
     listeners acceptors{listen_on(state.executor_, settings.listen_.get()),
                         listen_on(state.executor_, settings.readiness_listen_.get()),
@@ -180,6 +205,7 @@
     const auto load_endpoint = parse_endpoint(own_address(settings, settings.load_port_)).value();
     const auto exchange = std::make_shared<load_exchange>(
         state, boost::asio::ip::udp::endpoint(load_endpoint.address(), load_endpoint.port()));
+    const task_guard tasks(context);
     spawn_restarting(state.executor_, "receive_load", [exchange] { return receive_load(exchange); });
     spawn_restarting(state.executor_, "report_load", [exchange] { return report_load(exchange); });
     spawn_restarting(state.executor_, "accept_callers",
--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -52,13 +52,14 @@
     ++(whole ? seen.answered_ : seen.cut_off_);
 }
 
-std::shared_ptr<const routing_table> one_route()
+std::shared_ptr<const routing_table> one_route(request_kind kind = request_kind::idempotent,
+                                               milliseconds timeout = milliseconds{3000})
 {
     route matched;
-    matched.kind_ = request_kind::idempotent;
+    matched.kind_ = kind;
     matched.host_ = "h";
     matched.path_prefix_ = "/r/";
-    matched.timeout_ = milliseconds{3000};
+    matched.timeout_ = timeout;
     matched.services_ = {{service_id{"s"}, 1.0}};
     auto table = std::make_shared<routing_table>();
     table->version_ = configuration_version{1};
@@ -68,10 +69,10 @@
 }
 
 /// Starts a server in the gateway's own thread and lists it.
-void add_server(gateway_state& state, std::vector<std::shared_ptr<fake_server>>& servers)
+void add_server(gateway_state& state, std::vector<std::shared_ptr<fake_server>>& servers,
+                const scripted_response& response = plain_response("200 OK", "whole answer"))
 {
-    auto server = std::make_shared<fake_server>(state.executor_,
-                                                [](const auto&) { return plain_response("200 OK", "whole answer"); });
+    auto server = std::make_shared<fake_server>(state.executor_, [response](const auto&) { return response; });
     spawn(state.executor_, "accept_connections", accept_connections(server));
     listed_server entry;
     entry.id_ = server_id{"server-0"};
@@ -83,9 +84,7 @@
     servers.push_back(server);
 }
 
-}  // namespace
-
-TEST_CASE("a planned stop at 100 requests a second answers each request whose connection was accepted")
+gateway_settings loopback_settings()
 {
     gateway_settings settings;
     settings.name_ = "vm-1";
@@ -94,6 +93,38 @@
     settings.readiness_listen_ = free_address();
     settings.load_port_ = parse_endpoint(free_address().get())->port();
     settings.metrics_port_ = parse_endpoint(free_address().get())->port();
+    return settings;
+}
+
+/// Sends one request and returns all that comes back until the connection ends.
+std::string receive_answer(const tcp::endpoint& gateway, const std::string& fields)
+{
+    boost::asio::io_context io;
+    tcp::socket socket(io);
+    boost::system::error_code failed;
+    socket.connect(gateway, failed);
+    boost::asio::write(socket, boost::asio::buffer(request_text("POST", fields)), failed);
+    std::string answer;
+    std::array<char, 4096> bytes{};
+    while (!failed)
+    {
+        const auto size = socket.read_some(boost::asio::buffer(bytes), failed);
+        answer.append(bytes.data(), size);
+    }
+    return answer;
+}
+
+bool is_whole(const std::string& answer)
+{
+    return answer.starts_with("HTTP/1.1 ") && answer.find("Content-Length") != std::string::npos &&
+           answer.ends_with('}');
+}
+
+}  // namespace
+
+TEST_CASE("a planned stop at 100 requests a second answers each request whose connection was accepted")
+{
+    const auto settings = loopback_settings();
     std::vector<std::shared_ptr<fake_server>> servers;
     std::atomic<bool> started{false};
     std::atomic<bool> ended{false};
@@ -138,3 +169,87 @@
     CHECK(seen.answered_ > 200);
     CHECK(seen.not_accepted_ > 0);
 }
+
+TEST_CASE("a process that is stopped while a stream is open ends in order")
+{
+    // The tasks of open requests were destroyed after the state that they refer to: SIGSEGV instead of exit code 0.
+    auto settings = loopback_settings();
+    settings.stop_limit_ = milliseconds{3200};
+    std::vector<std::shared_ptr<fake_server>> servers;
+    std::atomic<bool> started{false};
+    gateway_callbacks callbacks;
+    callbacks.on_start_ = [&](gateway_state& state) {
+        activate_table(state, one_route(request_kind::streaming, milliseconds{20'000}));
+        add_server(state, servers, {stream_events(1, 2), true});
+        started = true;
+    };
+    callbacks.on_reload_ = [](gateway_state&) {
+    };
+    std::atomic<int> exit_code{-1};
+    std::thread process([&] { exit_code = run_gateway(settings, test_protocol(), callbacks); });
+    while (!started)
+    {
+        std::this_thread::sleep_for(milliseconds{5});
+    }
+    const auto gateway = *parse_endpoint(settings.listen_.get());
+    std::string begun;
+    std::thread caller([&] { begun = receive_answer(gateway, "X-Left: 20000\r\n"); });
+    std::this_thread::sleep_for(milliseconds{300});
+    std::raise(SIGTERM);
+    process.join();
+    caller.join();
+    CHECK(exit_code == 0);
+    // The caller can tell that the stream is incomplete.
+    CHECK(begun.find("data: e2") != std::string::npos);
+    CHECK_FALSE(begun.ends_with(last_chunk));
+}
+
+TEST_CASE("a planned stop cuts off no request that came late in the grace period")
+{
+    // Requests were passed on until the end of the grace period, and cut off there without an answer, among them
+    // requests that must not be repeated.
+    auto settings = loopback_settings();
+    settings.stop_limit_ = milliseconds{4000};
+    std::vector<std::shared_ptr<fake_server>> servers;
+    std::atomic<bool> started{false};
+    gateway_callbacks callbacks;
+    callbacks.on_start_ = [&](gateway_state& state) {
+        activate_table(state, one_route(request_kind::non_idempotent, milliseconds{20'000}));
+        add_server(state, servers, {"", true});
+        started = true;
+    };
+    callbacks.on_reload_ = [](gateway_state&) {
+    };
+    std::thread process([&] { (void)run_gateway(settings, test_protocol(), callbacks); });
+    while (!started)
+    {
+        std::this_thread::sleep_for(milliseconds{5});
+    }
+    const auto gateway = *parse_endpoint(settings.listen_.get());
+    std::string open_at_the_stop;
+    std::string cannot_end;
+    std::string can_end;
+    std::vector<std::thread> callers;
+    callers.emplace_back([&] { open_at_the_stop = receive_answer(gateway, "X-Left: 20000\r\n"); });
+    std::this_thread::sleep_for(milliseconds{300});
+    std::raise(SIGTERM);
+    std::this_thread::sleep_for(milliseconds{1000});
+    const auto begin = std::chrono::steady_clock::now();
+    callers.emplace_back([&] { can_end = receive_answer(gateway, "X-Left: 400\r\n"); });
+    callers.emplace_back([&] {
+        cannot_end = receive_answer(gateway, "X-Left: 10000\r\n");
+        CHECK(std::chrono::steady_clock::now() - begin < milliseconds{1000});
+    });
+    for (auto& caller : callers)
+    {
+        caller.join();
+    }
+    process.join();
+    CHECK(is_whole(open_at_the_stop));
+    CHECK(open_at_the_stop.starts_with("HTTP/1.1 504"));
+    CHECK(is_whole(cannot_end));
+    CHECK(cannot_end.starts_with("HTTP/1.1 503"));
+    CHECK(cannot_end.find("Retry-After") != std::string::npos);
+    CHECK(can_end.starts_with("HTTP/1.1 504"));
+    CHECK(servers.front()->received_requests_.size() == 2);
+}
