Refuse what cannot be answered before a planned stop ends, and answer what is open

What callers saw: in a planned stop, requests that came late in the grace period were passed on and cut off without an answer when it ended, among them requests that must not be repeated (report of other operators, confirmed here).

Cause: after SIGTERM nothing compared a request's time limit with the time that the process has left, and at the end the process left with connections open.

Change: while the process is being stopped, a request is sent only if its deadline, or for one that may be repeated twice its forecast, ends before the final answers; otherwise it gets 503 at once, true because it has not been sent, with Retry-After 0, because other VMs can take it. 0.9 s before the end of the grace period each request without a begun answer gets its final answer. Answers during a stop ask for the connection to be closed.

--- a/packages/decisions/include/cornelstall/decisions/request/admission.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/admission.hpp
@@ -11,6 +11,9 @@
 /// Load patterns: bursts in which no engine can take a request, callers that return together after a refusal, and
 /// prompts that cannot be served in time any more. One function says why a request waits, is sent or is refused.
 
+/// @brief Reason id of a request that is refused because its answer would not end before the process does.
+inline constexpr const char* stopping_reason = "vm_stopping";
+
 /// @brief What happens next with a request that has no answer yet.
 enum class admission_action
 {
@@ -27,6 +30,7 @@
     milliseconds max_wait_{0};       ///< longest wait for a place
     milliseconds abandon_after_{0};  ///< the caller abandons a request without an answer this long after its arrival
     milliseconds fastest_first_token_{0};  ///< time to the first token on idle engines
+    bool ends_before_stop_ = true;         ///< see ends_before_stop()
     bool caller_left_ = false;
     bool part_blocked_ = false;       ///< servers crash on a part of the prompt
     bool reached_server_ = false;     ///< a server has had the request; it is continued rather than refused
@@ -47,6 +51,19 @@
 /// @brief Decides whether a request is sent, waits or is refused.
 [[nodiscard]] admission_decision decide_admission(const admission_facts& facts);
 
+/// @brief What decides whether a request may still be sent while the process is being stopped.
+struct stop_facts
+{
+    std::optional<milliseconds>
+        stop_in_;                ///< time until open requests are ended; empty unless the process is being stopped
+    milliseconds time_left_{0};  ///< until the request's deadline
+    std::optional<milliseconds> expected_;  ///< forecast of the time to the end of the answer, if it may be repeated
+};
+
+/// @brief True when the answer ends before the process does: by its deadline, or by a forecast with room for errors if
+/// the request may be repeated elsewhere should the forecast be wrong.
+[[nodiscard]] bool ends_before_stop(const stop_facts& facts);
+
 /// @brief The order of requests that wait for a place of the same service.
 struct waiting_order
 {
--- a/packages/decisions/src/request/admission.cpp
+++ b/packages/decisions/src/request/admission.cpp
@@ -26,6 +26,10 @@
 /// Callers that return later than this share of their time left ignore the time they were told.
 constexpr int time_left_divisor = 3;
 
+/// While the process is being stopped, an answer is expected to take this much longer than forecast.
+constexpr int stop_forecast_factor = 2;
+constexpr milliseconds stop_forecast_allowance{500};
+
 bool is_overdue(const waiting_order& order, time_point now)
 {
     return order.due_at_ <= now;
@@ -52,6 +56,10 @@
     {
         return {refuse, "no_server_left"};
     }
+    if (!facts.ends_before_stop_ && !facts.reached_server_)
+    {
+        return {refuse, stopping_reason};
+    }
     const bool hopeless = facts.waited_ + facts.fastest_first_token_ >= facts.abandon_after_;
     if (hopeless && !facts.reached_server_)
     {
@@ -73,6 +81,15 @@
     return {wait, facts.has_place_ ? "more_urgent_first" : "no_place"};
 }
 
+bool ends_before_stop(const stop_facts& facts)
+{
+    if (!facts.stop_in_ || facts.time_left_ <= *facts.stop_in_)
+    {
+        return true;
+    }
+    return facts.expected_ && *facts.expected_ * stop_forecast_factor + stop_forecast_allowance <= *facts.stop_in_;
+}
+
 bool goes_before(const waiting_order& left, const waiting_order& right, time_point now)
 {
     const auto key = [now](const waiting_order& order) {
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -18,6 +18,8 @@
 namespace cornelstall
 {
 
+struct exchange;
+
 /// @brief The state of one gateway process. Accessed from the Asio thread only.
 struct gateway_state
 {
@@ -56,10 +58,12 @@
     };
 
     buffer_budget answer_buffers_;
-    bool stopping_ = false;          ///< SIGTERM or SIGINT was received
-    std::size_t open_callers_ = 0;   ///< callers' connections; a stop waits for those with a request under way
-    std::size_t open_requests_ = 0;  ///< a stop waits for them to finish
-    std::size_t open_leases_ = 0;    ///< unreleased reservations of engine memory; a stop waits for their release
+    bool stopping_ = false;       ///< SIGTERM or SIGINT was received
+    time_point end_requests_at_;  ///< while stopping: requests without a begun answer get their final answer then
+    std::set<exchange*> open_exchanges_;  ///< requests under way
+    std::size_t open_callers_ = 0;        ///< callers' connections; a stop waits for those with a request under way
+    std::size_t open_requests_ = 0;       ///< a stop waits for them to finish
+    std::size_t open_leases_ = 0;         ///< unreleased reservations of engine memory; a stop waits for their release
     std::set<std::shared_ptr<caller_socket>> idle_callers_;
 };
 
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -63,7 +63,8 @@
     std::optional<std::uint64_t> last_event_id_;       ///< id of the last event sent to the caller
     std::optional<milliseconds> time_to_first_event_;  ///< from the arrival of the request to its first event
     time_point last_event_at_;
-    bool late_ = false;  ///< the latency target or the limit of an event gap has been missed
+    bool refused_for_stop_ = false;  ///< its answer would not end before the process does
+    bool late_ = false;              ///< the latency target or the limit of an event gap has been missed
     unsigned answer_status_ = 0;
     std::optional<http_response> error_answer_;  ///< a server's error response; sent if no later send succeeds
 };
@@ -84,6 +85,10 @@
 [[nodiscard]] task<bool> serve_request(gateway_state& state, std::shared_ptr<caller_socket> caller,
                                        http_request request, time_point arrived);
 
+/// @brief Ends the requests that have no begun answer, so that their callers get a final answer before the process
+/// ends.
+void end_open_requests(gateway_state& state);
+
 /// @brief Sends the request to one server after another until one answers or no further send is allowed.
 [[nodiscard]] task<send_result> try_servers(exchange& current);
 
--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -11,6 +11,7 @@
 #include "cornelstall/gateway/connection/load_exchange.hpp"
 #include "cornelstall/gateway/connection/status_listener.hpp"
 #include "cornelstall/gateway/process/part_guard.hpp"
+#include "cornelstall/gateway/request/exchange.hpp"
 #include "cornelstall/gateway/version/follow_table.hpp"
 #include "cornelstall/wire.hpp"
 
@@ -35,6 +36,8 @@
 /// Part of the stop limit that is reserved for ending the process in an orderly way.
 constexpr milliseconds stop_reserve{400};
 constexpr milliseconds stop_check_interval{50};
+/// Before that reserve, callers whose requests are still unanswered get their final answer.
+constexpr milliseconds final_answers_time{500};
 /// After the listening socket is closed, the first request of a new connection is awaited for this long.
 constexpr milliseconds first_request_wait{500};
 
@@ -127,6 +130,10 @@
     const auto close_idle_at = clock::now() + first_request_wait;
     while (state.open_callers_ + state.open_leases_ > 0 && clock::now() < deadline)
     {
+        if (clock::now() >= state.end_requests_at_)
+        {
+            end_open_requests(state);
+        }
         if (clock::now() >= close_idle_at)
         {
             close_idle_callers(state);
@@ -138,7 +145,11 @@
 task<> stop_gateway(gateway_state& state, listeners& acceptors)
 {
     const auto started_at = clock::now();
+    const auto end_at = started_at + state.settings_.stop_limit_ - stop_reserve;
     state.stopping_ = true;
+    state.end_requests_at_ = end_at - final_answers_time;
+    // Requests that wait for a place may be better off at another VM.
+    notify_capacity_changed(state.wait_queues_);
     log_event(severity::info, gateway_stopping, "stop signal received; no longer ready, finishing the open requests",
               {{"open_requests", std::to_string(state.open_requests_)},
                {"open_callers", std::to_string(state.open_callers_)}});
@@ -149,7 +160,7 @@
     accept_waiting_callers(state, acceptors.callers_);
     boost::system::error_code ignored;  // the process ends even if the acceptor cannot be closed
     acceptors.callers_.close(ignored);
-    co_await finish_requests(state, started_at + state.settings_.stop_limit_ - stop_reserve);
+    co_await finish_requests(state, end_at);
     log_event(severity::info, gateway_stopped, "gateway stopped",
               {{"open_requests", std::to_string(state.open_requests_)}});
 }
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -79,6 +79,12 @@
         co_await send_gateway_answer(current, 503, "prompt_part_blocked", retry_after);
         co_return;
     }
+    if (current.possible_runs_ == 0 && current.refused_for_stop_)
+    {
+        // Other VMs can take the request at once.
+        co_await send_gateway_answer(current, 503, stopping_reason, milliseconds{0});
+        co_return;
+    }
     if (current.possible_runs_ == 0)
     {
         const char* const reason = current.sends_ > 0 ? "servers_refused" : "no_server_free";
@@ -190,6 +196,27 @@
                {"version", std::to_string(current.table_->version_.get())}});
 }
 
+/// Lists an exchange among the open ones for its own lifetime.
+class open_exchange
+{
+  public:
+    explicit open_exchange(exchange& current) : current_(current)
+    {
+        current_.state_.open_exchanges_.insert(&current_);
+    }
+    open_exchange(const open_exchange&) = delete;
+    open_exchange& operator=(const open_exchange&) = delete;
+    open_exchange(open_exchange&&) = delete;
+    open_exchange& operator=(open_exchange&&) = delete;
+    ~open_exchange()
+    {
+        current_.state_.open_exchanges_.erase(&current_);
+    }
+
+  private:
+    exchange& current_;
+};
+
 void stop_watching_for_disconnect(exchange& current)
 {
     boost::system::error_code ignored;  // fails only on a closed socket, which has nothing to cancel
@@ -318,9 +345,27 @@
     (void)co_await deliver(current, std::move(answer));
 }
 
+void end_open_requests(gateway_state& state)
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::ranges::for_each(state.open_exchanges_, [now](exchange* current) {
+        if (current->head_sent_)
+        {
+            return;
+        }
+        current->deadline_ = std::min(current->deadline_, now);
+        if (const auto connection = current->watch_ ? current->watch_->backend_connection_.lock() : nullptr)
+        {
+            close_socket(*connection);
+        }
+    });
+    notify_capacity_changed(state.wait_queues_);
+}
+
 task<send_result> deliver(exchange& current, http_response answer)
 {
     answer.version(11);
+    current.keep_alive_ = current.keep_alive_ && !current.state_.stopping_;
     answer.keep_alive(current.keep_alive_);
     // The answer to HEAD has no body; its Content-Length field must stay as the server stated it.
     if (current.request_.method() != http::verb::head)
@@ -342,6 +387,7 @@
 {
     const scoped_count open_request(state.open_requests_);
     exchange current(state, caller, std::move(request));
+    const open_exchange listed(current);
     current.parsed_request_ = state.protocol_.read_request_(current.request_);
     current.arrived_ = arrived;
     current.keep_alive_ = current.request_.keep_alive() && !state.stopping_;
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -304,6 +304,25 @@
     return wait && *wait < longest;
 }
 
+/// True when the answer to a request that is sent according to @a plan ends before the process does.
+bool is_answered_before_stop(const exchange& current, const engine_work& work, const std::optional<send_plan>& plan,
+                             time_point now)
+{
+    const auto& state = current.state_;
+    stop_facts facts;
+    facts.time_left_ = remaining_time(current);
+    if (state.stopping_)
+    {
+        facts.stop_in_ = std::chrono::duration_cast<milliseconds>(state.end_requests_at_ - now);
+    }
+    if (is_retry_safe(current) && plan && current.service_->engine_)
+    {
+        facts.expected_ = plan->starts_in_ + plan->forecast_.first_token_ +
+                          generation_time(*current.service_->engine_, work.prompt_, work.answer_left_);
+    }
+    return ends_before_stop(facts);
+}
+
 planned_step plan_step(exchange& current, const engine_hold& hold, const queue_place& place, time_point now)
 {
     planned_step step;
@@ -329,6 +348,7 @@
     facts.has_place_ = step.plan_.has_value();
     facts.more_urgent_waits_ = place.is_behind(step.order_, now);
     facts.starts_in_ = step.plan_ ? step.plan_->starts_in_ : milliseconds{0};
+    facts.ends_before_stop_ = is_answered_before_stop(current, work, step.plan_, now);
     step.decision_ = decide_admission(facts);
     return step;
 }
@@ -374,6 +394,7 @@
             {
                 log_wait(current, step, place);
             }
+            current.refused_for_stop_ = step.decision_.reason_ == stopping_reason;
             co_return step.decision_.action_ == admission_action::send ? std::move(step.plan_) : std::nullopt;
         }
         if (step.facts_.starts_in_.count() > 0)
