Hold a whole prompt that crashes servers as a suspect beside its parts

Cause: callers repeat a prompt under new ids, at all VMs. Crashes were held against the parts that prompts share, and the answers to other prompts with the same part cleared it each time; the last part, which only the repeats have, was dropped when the request was read.

--- a/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
@@ -25,8 +25,9 @@
     std::optional<token_count> prompt_;  ///< length of the prompt; only in generation requests
     std::optional<token_count> max_output_tokens_;
     std::optional<token_count> expected_output_tokens_;
-    /// Parts of the prompt that other requests may have in common with this one, without repetition.
-    std::vector<prompt_part_id> shared_parts_;
+    /// Parts of the prompt that other requests may have in common with this one, and last the whole prompt, by which a
+    /// request is recognised that is sent again under a new id. Without repetition.
+    std::vector<prompt_part_id> prompt_parts_;
     std::optional<std::uint64_t> resume_after_;  ///< id of the last event that the caller received
 };
 
--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -120,7 +120,7 @@
     const auto now = std::chrono::steady_clock::now();
     if (!current.time_to_first_event_)
     {
-        record_answer_begun(current.state_, current.parsed_request_.shared_parts_);
+        record_answer_begun(current.state_, current.parsed_request_.prompt_parts_);
         current.time_to_first_event_ = std::chrono::duration_cast<milliseconds>(now - current.arrived_);
         current.late_ = *current.time_to_first_event_ > current.route_->latency_target_;
     }
@@ -196,7 +196,7 @@
             timed_out ? "the request's time limit passed before the stream ended" : "the server's stream ended early",
             {{"request", current.parsed_request_.id_.get()},
              {"silent", server.expired_ ? "1" : "0"},
-             {"parts", text_of(current.parsed_request_.shared_parts_)},
+             {"parts", text_of(current.parsed_request_.prompt_parts_)},
              {"last_event", current.last_event_id_ ? std::to_string(*current.last_event_id_) : "none"}});
     }
     return result;
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -119,7 +119,7 @@
               {{"request", current.parsed_request_.id_.get()},
                {"server", server.id_.get()},
                {"expired", connection.expired_ ? "1" : "0"},
-               {"parts", text_of(current.parsed_request_.shared_parts_)},
+               {"parts", text_of(current.parsed_request_.prompt_parts_)},
                {"caller_left", current.watch_->disconnected_ ? "1" : "0"}});
     return result;
 }
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -75,7 +75,7 @@
     }
     if (current.possible_runs_ == 0 && is_part_blocked(current))
     {
-        const auto retry_after = refuse_blocked_parts(current.state_, current.parsed_request_.shared_parts_);
+        const auto retry_after = refuse_blocked_parts(current.state_, current.parsed_request_.prompt_parts_);
         co_await send_gateway_answer(current, 503, "prompt_part_blocked", retry_after);
         co_return;
     }
@@ -191,7 +191,7 @@
                {"took_ms", text_of(duration)},
                {"first_ms", current.time_to_first_event_ ? text_of(*current.time_to_first_event_) : "none"},
                {"prompt", std::to_string(current.parsed_request_.prompt_.value_or(token_count{0}).get())},
-               {"parts", text_of(current.parsed_request_.shared_parts_)},
+               {"parts", text_of(current.parsed_request_.prompt_parts_)},
                {"late", current.late_ ? "1" : "0"},
                {"version", std::to_string(current.table_->version_.get())}});
 }
@@ -259,7 +259,7 @@
 bool is_part_blocked(const exchange& current)
 {
     return !current.part_trial_ &&
-           !blocked_parts(current.state_.suspect_parts_, current.parsed_request_.shared_parts_).empty();
+           !blocked_parts(current.state_.suspect_parts_, current.parsed_request_.prompt_parts_).empty();
 }
 
 bool can_switch_server(const exchange& current)
@@ -404,7 +404,7 @@
     }
     set_deadline(current, time_limit(current));
     record_request(state.retry_budget_, current.service_->id_, std::chrono::steady_clock::now());
-    current.part_trial_ = take_part_trial(state, current.parsed_request_.shared_parts_);
+    current.part_trial_ = take_part_trial(state, current.parsed_request_.prompt_parts_);
     const auto result = co_await try_servers(current);
     if (current.watch_->disconnected_)
     {
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -157,7 +157,7 @@
 /// True when another server may be tried after a send that ended with @a result.
 bool may_send_again(const exchange& current, send_result result)
 {
-    const auto& parts = current.parsed_request_.shared_parts_;
+    const auto& parts = current.parsed_request_.prompt_parts_;
     const bool may_crash =
         current.part_trial_ || (current.server_crashed_ && may_crash_again(current.state_.suspect_parts_, parts));
     return (result == send_result::did_not_run || (is_retry_safe(current) && !may_crash)) &&
@@ -419,7 +419,7 @@
     current.server_crashed_ = ended;
     if (ended)
     {
-        record_server_crash(current.state_, server, current.parsed_request_.shared_parts_, sent_at);
+        record_server_crash(current.state_, server, current.parsed_request_.prompt_parts_, sent_at);
     }
 }
 
@@ -436,7 +436,7 @@
     const auto sent_at = std::chrono::steady_clock::now();
     const auto result = co_await send_to_server(current, plan.server_, plan.forecast_);
     const bool may_have_crashed = result == send_result::may_have_run && current.lost_unanswered_;
-    if (may_have_crashed && !current.parsed_request_.shared_parts_.empty())
+    if (may_have_crashed && !current.parsed_request_.prompt_parts_.empty())
     {
         co_await check_for_crash(current, plan.server_, sent_at);
     }
