Check in the soak that a planned stop cuts off no request that comes late

Callers of the soak keep using their connections until the process is gone, but the check of planned stops looked only at requests that were open when the stop began. It now covers those sent during the stop, except those of its first 3 s that are still at work in the last sixth of the grace period. Prompts of the soak get a part of their own: with one part for all, a crash of a server is held against every prompt.

--- a/soak/process/promises.cpp
+++ b/soak/process/promises.cpp
@@ -85,13 +85,20 @@
     });
 }
 
-/// Requests that a planned stop of their VM may concern: open when it began, or sent shortly after.
-bool is_open_at_stop(const sent_request& request, const planned_stop& stop)
+/// True when a request was open when a planned stop of its VM began, or was sent while the process was still there.
+bool is_open_during_stop(const sent_request& request, const planned_stop& stop, time_point stop_ended_at)
 {
-    return request.vm_ == stop.vm_ && request.sent_at_ <= stop.begun_at_ &&
+    return request.vm_ == stop.vm_ && request.sent_at_ <= stop_ended_at &&
            (!request.ended_at_ || *request.ended_at_ >= stop.begun_at_);
 }
 
+/// True when a request that came early in a stop was still being answered near the end of the grace period.
+bool may_outlast_stop(const sent_request& request, const planned_stop& stop, const promise_bounds& bounds)
+{
+    return request.sent_at_ > stop.begun_at_ && request.sent_at_ <= stop.begun_at_ + bounds.early_in_stop_ &&
+           *request.ended_at_ >= stop.begun_at_ + bounds.stop_ - bounds.stop_ / 6;
+}
+
 }  // namespace
 
 std::vector<finding> check_runs_once(const observations& seen)
@@ -194,7 +201,8 @@
         }
         std::ranges::for_each(seen.requests_, [&](const sent_request& request) {
             const bool cut = request.ended_at_ && !request.whole_ && !request.left_;
-            if (calm && cut && is_open_at_stop(request, stop) && was_taken(request) &&
+            if (calm && cut && is_open_during_stop(request, stop, end) && was_taken(request) &&
+                !may_outlast_stop(request, stop, bounds) &&
                 !is_disrupted(seen, disrupted_part::server, stop.vm_, request.sent_at_, *request.ended_at_))
             {
                 found.push_back({"stops", request.id_, "cut off by the stop of " + vm});
--- a/soak/process/promises.hpp
+++ b/soak/process/promises.hpp
@@ -18,6 +18,7 @@
     milliseconds leaving_{2000};          ///< a server that leaves gets nothing more after this
     milliseconds loss_slack_{200};        ///< a request may cross the close of its connection for this long
     milliseconds stop_{8000};             ///< a stopped process ends within this time
+    milliseconds early_in_stop_{3000};    ///< requests sent later than this after a stop began are never cut off by it
     milliseconds stable_{3000};           ///< bounds hold again this long after a disruption
     double repeat_ratio_ = 0.2;           ///< repeats allowed for each request
     double repeat_extra_ = 100.0;         ///< repeats allowed beyond the ratio
--- a/soak/request/caller.cpp
+++ b/soak/request/caller.cpp
@@ -73,7 +73,10 @@
     {
         message.set("Model", "m");
         message.set("Token-Counts", std::to_string(request.prompt_tokens_) + ",10");
-        message.set("Prompt-Prefix", "1:" + std::to_string(request.prompt_tokens_));
+        // One part that all prompts share, and one of the request's own, whose id is the digits of the request's.
+        constexpr std::int64_t shared_tokens = 40;
+        message.set("Prompt-Prefix", "1:" + std::to_string(shared_tokens) + "," + request.id_.substr(1) + ":" +
+                                         std::to_string(request.prompt_tokens_ - shared_tokens));
     }
     message.body() = request.body_;
     message.prepare_payload();
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -130,6 +130,10 @@
     auto seen = seen_of(request, {note_of("run")});
     seen.stops_ = {{0, start + milliseconds{5}, start + std::chrono::seconds{3}, 0}};
     CHECK(check_stops(seen, bounds, start).size() == 1);
+    // A request that was sent on a connection that had stayed open counts, too.
+    seen.stops_[0].begun_at_ = start - bounds.early_in_stop_ - milliseconds{1};
+    CHECK(check_stops(seen, bounds, start).size() == 1);
+    seen.stops_[0].begun_at_ = start + milliseconds{5};
     seen.notes_.clear();
     CHECK(check_stops(seen, bounds, start).empty());
     seen.stops_[0].exit_code_ = 1;
