Keep the clock of a VM when a report of an earlier process of it arrives late

By reading: after a VM of a name was replaced, a late datagram of the earlier process set the measure of delays to a clock of another machine, and every report of the later process then counted as minutes late. Reports of an earlier process are passed over.

--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -75,6 +75,11 @@
 milliseconds time_in_transit(vm_peers& peers, const load_report& report, std::chrono::nanoseconds clock)
 {
     auto& peer = peers.peers_[report.vm_];
+    if (report.incarnation_ < peer.incarnation_)
+    {
+        // A late report of an earlier process, perhaps of another VM of the name, says nothing about this one's clock.
+        return milliseconds{0};
+    }
     if (peer.incarnation_ != report.incarnation_)
     {
         peer.transit_ = transit_clock{};
--- a/tests/decisions/transit_time_test.cpp
+++ b/tests/decisions/transit_time_test.cpp
@@ -73,6 +73,21 @@
     CHECK(time_in_transit(peers, report, seconds{11}) == milliseconds{0});
 }
 
+TEST_CASE("a late report of an earlier process does not change what is known about the clock of the later one")
+{
+    vm_peers peers;
+    auto report = make_report("vm-1", 1, false);
+    report.incarnation_ = incarnation{2};
+    report.sent_at_ = milliseconds{100};
+    CHECK(time_in_transit(peers, report, seconds{10}) == milliseconds{0});
+    peers.peers_[report.vm_].incarnation_ = report.incarnation_;
+    auto earlier = make_report("vm-1", 99, false);
+    earlier.sent_at_ = milliseconds{900'000};
+    CHECK(time_in_transit(peers, earlier, seconds{11}) == milliseconds{0});
+    report.sent_at_ = milliseconds{2100};
+    CHECK(time_in_transit(peers, report, seconds{12}) <= milliseconds{1});
+}
+
 TEST_CASE("of the load reports of a VM that wait together only the last is applied")
 {
     std::vector<load_report> reports{make_report("a", 1, false), make_report("a", 2, true), make_report("b", 1, false),
