--- a/tests/decisions/list_age_property_test.cpp
+++ b/tests/decisions/list_age_property_test.cpp
@@ -96,18 +96,18 @@
         return std::uniform_int_distribution<int>(least, most)(random_);
     }
 
-    std::size_t records_end(milliseconds at) const
+    [[nodiscard]] std::size_t records_end(milliseconds at) const
     {
         return static_cast<std::size_t>(std::ranges::upper_bound(records_, at) - records_.begin());
     }
 
-    milliseconds clock_of(const model_vm& vm) const
+    [[nodiscard]] milliseconds clock_of(const model_vm& vm) const
     {
         return now_ + vm.clock_offset_ +
                milliseconds{static_cast<std::int64_t>(static_cast<double>(now_.count()) * vm.clock_drift_)};
     }
 
-    bool is_overloaded(const model_vm& vm) const
+    [[nodiscard]] bool is_overloaded(const model_vm& vm) const
     {
         return vm.overload_begin_ <= now_ && now_ < vm.overload_end_;
     }
