--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -55,7 +55,6 @@
 constexpr std::size_t max_limits_per_datagram = 20;
 /// VMs of other cells that each report about prompt parts and limits goes to. They pass on what is new to them.
 constexpr std::size_t other_cell_recipients = 4;
-constexpr std::size_t max_received_datagram_bytes = 65536;
 /// Datagrams that are read before other work of the process goes on.
 constexpr std::size_t max_datagrams_per_turn = 512;
 /// Requested size of the socket's receive buffer.
@@ -233,6 +232,11 @@
 
 void apply_load(gateway_state& state, load_report report)
 {
+    if (!state.peers_.peers_.contains(report.vm_))
+    {
+        log_event(severity::info, peer_found, "received a load report from a new VM",
+                  {{"vm", report.vm_.get()}, {"address", report.address_.get()}});
+    }
     const auto delay = time_in_transit(state.peers_, report, boot_time());
     auto& updates = state.server_list_.updates_;
     updates.longest_delay_ = std::max(updates.longest_delay_, delay);
@@ -264,11 +268,6 @@
         state.metrics_.count("gateway_load_reports_refused_total");
         return std::nullopt;
     }
-    if (!state.peers_.peers_.contains(report->vm_))
-    {
-        log_event(severity::info, peer_found, "received a load report from a new VM",
-                  {{"vm", report->vm_.get()}, {"address", report->address_.get()}});
-    }
     return report;
 }
 
@@ -277,7 +276,7 @@
 std::vector<load_report> read_waiting(load_exchange& exchange)
 {
     std::vector<load_report> reports;
-    std::vector<char> bytes(max_received_datagram_bytes);
+    auto& bytes = exchange.received_bytes_;
     udp::endpoint sender;
     boost::system::error_code none_left;
     for (std::size_t read = 0; read < max_datagrams_per_turn; ++read)
