--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -96,6 +96,13 @@
     return protocol;
 }
 
+/// @brief An I/O context whose suspended tasks can be destroyed before what they refer to.
+struct fixture_context : boost::asio::io_context
+{
+    using execution_context::shutdown;
+    using io_context::io_context;
+};
+
 /// @brief A gateway on the loopback interface with fake backend servers.
 class gateway_fixture
 {
@@ -107,6 +114,15 @@
         state_.server_list_.listed_ = true;
         spawn(state_.executor_, "accept_callers", accept_callers(state_, acceptor_));
     }
+    gateway_fixture(const gateway_fixture&) = delete;
+    gateway_fixture& operator=(const gateway_fixture&) = delete;
+    gateway_fixture(gateway_fixture&&) = delete;
+    gateway_fixture& operator=(gateway_fixture&&) = delete;
+    ~gateway_fixture()
+    {
+        // The tasks of open requests refer to the state.
+        io_.shutdown();
+    }
 
     static gateway_settings settings()
     {
@@ -170,7 +186,7 @@
         return condition();
     }
 
-    boost::asio::io_context io_{1};
+    fixture_context io_{1};
     gateway_state state_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::vector<std::shared_ptr<fake_server>> servers_;
