Show a VM that exceeds its memory in a burst of long bodies

Cause: the bodies of requests have no budget for all requests together, and each is held twice while it is at a server.

--- a/review/tools/standins.cpp
+++ b/review/tools/standins.cpp
@@ -603,6 +603,15 @@
     return got && got->status() == 200;
 }
 
+std::int64_t vm_process::resident_bytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(process_) + "/statm");
+    std::int64_t total = 0;
+    std::int64_t resident = 0;
+    file >> total >> resident;
+    return resident * ::sysconf(_SC_PAGESIZE);
+}
+
 bool vm_process::wait_ready(milliseconds limit) const
 {
     const auto deadline = steady::now() + limit;
@@ -619,14 +628,14 @@
 
 std::string configuration(int version)
 {
-    const auto route = [](const std::string& prefix, const std::string& kind, int attempts) {
+    const auto route = [](const std::string& prefix, const std::string& kind, int attempts, int timeout_ms) {
         return R"({"name":")" + prefix + R"(","host":")" + host + R"(","path_prefix":"/)" + prefix +
-               R"(/","service":"calls","kind":")" + kind +
-               R"(","timeout_ms":1000,"target_latency_ms":100,"max_attempts":)" + std::to_string(attempts) +
+               R"(/","service":"calls","kind":")" + kind + R"(","timeout_ms":)" + std::to_string(timeout_ms) +
+               R"(,"target_latency_ms":100,"max_attempts":)" + std::to_string(attempts) +
                R"(,"priority":2,"public":false})";
     };
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("status", "idempotent", 2) + "," +
-           route("book", "non_idempotent", 1) +
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("status", "idempotent", 2, 1000) +
+           "," + route("book", "non_idempotent", 1, 1000) + "," + route("report", "non_idempotent", 1, 10'000) +
            R"(],"services":[{"name":"calls","health_path":"/health","max_connections":400}],)"
            R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,)"
            R"("idle_timeout_ms":15000},"tenants":[{"name":"desk","api_keys":[")" +
@@ -649,7 +658,7 @@
                          const std::string& more_fields)
 {
     return method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: " + id +
-           "\r\nDeadline-Ms: 1000\r\nAuthorization: Bearer " + key + "\r\n" + more_fields + "\r\n";
+           "\r\nDeadline-Ms: 10000\r\nAuthorization: Bearer " + key + "\r\n" + more_fields + "\r\n";
 }
 
 std::optional<message> ask(const std::string& address, const std::string& method, const std::string& target,
--- a/review/tools/standins.hpp
+++ b/review/tools/standins.hpp
@@ -214,6 +214,8 @@
     /// Waits until the process has ended, at most @a limit; then kills it.
     void wait(milliseconds limit);
     [[nodiscard]] bool is_ready() const;
+    /// Memory that the process has in use, in bytes.
+    [[nodiscard]] std::int64_t resident_bytes() const;
     bool wait_ready(milliseconds limit) const;
     [[nodiscard]] const std::string& front() const
     {
