--- a/review/tools/standins.cpp
+++ b/review/tools/standins.cpp
@@ -626,17 +626,18 @@
     return false;
 }
 
-std::string configuration(int version)
+std::string configuration(int version, const std::string& added)
 {
     const auto route = [](const std::string& prefix, const std::string& kind, int attempts, int timeout_ms) {
         return R"({"name":")" + prefix + R"(","host":")" + host + R"(","path_prefix":"/)" + prefix +
                R"(/","service":"calls","kind":")" + kind + R"(","timeout_ms":)" + std::to_string(timeout_ms) +
-               R"(,"target_latency_ms":100,"max_attempts":)" + std::to_string(attempts) +
-               R"(,"priority":2,"public":false})";
+               R"(,"target_latency_ms":100,"max_attempts":)" + std::to_string(attempts) + R"(,"priority":2,"public":)";
     };
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("status", "idempotent", 2, 1000) +
-           "," + route("book", "non_idempotent", 1, 1000) + "," + route("report", "non_idempotent", 1, 10'000) +
-           R"(],"services":[{"name":"calls","health_path":"/health","max_connections":400}],)"
+    const auto public_route = added.empty() ? std::string() : route(added, "idempotent", 2, 1000) + "true},";
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + public_route +
+           route("status", "idempotent", 2, 1000) + "false}," + route("book", "non_idempotent", 1, 1000) + "false}," +
+           route("report", "non_idempotent", 1, 10000) +
+           R"(false}],"services":[{"name":"calls","health_path":"/health","max_connections":400}],)"
            R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,)"
            R"("idle_timeout_ms":15000},"tenants":[{"name":"desk","api_keys":[")" +
            key + R"("]}]})";
--- a/review/tools/standins.hpp
+++ b/review/tools/standins.hpp
@@ -242,8 +242,9 @@
     int process_ = -1;
 };
 
-/// @brief A configuration with an idempotent and a non-idempotent route of one host and one service.
-[[nodiscard]] std::string configuration(int version);
+/// @brief A configuration of one host and one service with an idempotent and two non-idempotent routes.
+/// @param added prefix of a further, public route; none when it is empty
+[[nodiscard]] std::string configuration(int version, const std::string& added = {});
 
 inline constexpr const char* host = "desk.example";
 inline constexpr const char* key = "key-of-the-driver-app";
