--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,8 +1,9 @@
 /// @file
-/// A server leaves without reporting that it drains while another VM restarts. The VMs that did not restart must not
-/// send it requests later than `drain_ms` after its entry was removed.
+/// The store refuses all calls for some seconds, and a route is added soon after its return. Later than
+/// `config_apply_ms` after the acknowledgement, and once the store has been stable for `stable_window_ms`, no VM may
+/// answer 404 there.
 
-#include <csignal>
+#include <algorithm>
 
 #include "../tools/standins.hpp"
 
@@ -11,17 +12,13 @@
 
 using namespace review;
 
-constexpr std::int64_t drain_ms = 2000;
-constexpr std::int64_t heartbeat_ms = 1200;
-constexpr int rounds = 4;
-constexpr int clients = 8;
-constexpr std::int64_t pause_ms = 110;
-
-struct leaving
-{
-    std::string server_;
-    std::int64_t acknowledged_at_ = 0;
-};
+constexpr std::int64_t config_apply_ms = 2000;
+constexpr std::int64_t stable_window_ms = 3000;
+constexpr std::int64_t outage_ms = 7600;
+/// From the end of the outage to the new configuration.
+constexpr std::int64_t change_after_ms = 500;
+constexpr int rounds = 3;
+constexpr int vm_count = 6;
 
 }  // namespace
 
@@ -31,124 +28,85 @@
     {
         return 2;
     }
-    const std::string command = argv[1];
-    const std::string folder = argv[2];
     record notes(argv[3]);
-    const bool disturbed = is_disturbed();
-
     store platform;
+    std::atomic<bool> refusing{false};
+    platform.before_call_ = [&refusing](const std::string&, const std::string&) {
+        return !refusing;
+    };
     platform.put("keyed.op", "config", configuration(1));
-    std::vector<std::unique_ptr<server>> servers;
-    std::mutex listed_mutex;
-    std::vector<server*> listed;
-    for (int index = 0; index < rounds + 2; ++index)
-    {
-        servers.push_back(std::make_unique<server>("i-" + std::to_string(index), notes, milliseconds{15}));
-        listed.push_back(servers.back().get());
-        platform.put("keyed.servers", servers.back()->id(), servers.back()->entry("calls", "ready"));
-    }
+    server one("i-1", notes, milliseconds{15});
     std::atomic<bool> ended{false};
     std::thread heartbeats([&] {
         while (!ended)
         {
+            if (!refusing)
             {
-                const std::scoped_lock lock(listed_mutex);
-                for (auto* each : listed)
-                {
-                    ++each->sequence_;
-                    platform.put("keyed.servers", each->id(), each->entry("calls", "ready"));
-                }
+                ++one.sequence_;
+                platform.put("keyed.servers", one.id(), one.entry("calls", "ready"));
             }
-            sleep_ms(heartbeat_ms);
+            sleep_ms(1200);
         }
     });
     std::vector<std::unique_ptr<vm_process>> vms;
-    for (int index = 0; index < 3; ++index)
+    for (int index = 0; index < vm_count; ++index)
     {
         const auto name = "edge-" + std::to_string(index + 1);
-        vms.push_back(std::make_unique<vm_process>(name, "127.0.0." + std::to_string(index + 2), command, folder,
+        vms.push_back(std::make_unique<vm_process>(name, "127.0.0." + std::to_string(index + 2), argv[1], argv[2],
                                                    platform.open_for(name), notes));
         vms.back()->start();
     }
-    for (const auto& vm : vms)
+    const bool all_ready =
+        std::ranges::all_of(vms, [](const auto& vm) { return vm->wait_ready(milliseconds{10'000}); });
+    if (!all_ready)
     {
-        if (!vm->wait_ready(milliseconds{10'000}))
-        {
-            vms.clear();
-            finish(2, "a VM is not ready");
-        }
+        vms.clear();
+        finish(2, "a VM is not ready");
     }
-    sleep_ms(3500);
-    std::atomic<int> answered{0};
-    std::vector<std::thread> callers;
-    for (int caller = 0; caller < clients; ++caller)
-    {
-        callers.emplace_back([&, caller] {
-            for (int number = 0; !ended; ++number)
-            {
-                // The first VM is the one that restarts; no consumer uses it.
-                const auto& vm = *vms[1 + static_cast<std::size_t>(number % 2)];
-                const auto id = "c" + std::to_string(caller) + "-" + std::to_string(number);
-                const auto answer = ask(vm.front(), "GET", "/status/bins", id, milliseconds{1000});
-                answered += answer && answer->status() == 200 ? 1 : 0;
-                sleep_ms(pause_ms);
-            }
-        });
-    }
-    std::vector<leaving> left;
+    int late = 0;
+    int asked = 0;
     for (int round = 0; round < rounds; ++round)
     {
-        if (disturbed)
+        sleep_ms(4000);
+        if (is_disturbed())
         {
-            vms[0]->signal(SIGTERM);
-            vms[0]->wait(milliseconds{8000});
-            sleep_ms(200);
-            vms[0]->start(false);
-            vms[0]->wait_ready(milliseconds{10'000});
+            notes.line("the store closes all connections without an answer");
+            refusing = true;
         }
-        else
+        sleep_ms(outage_ms);
+        refusing = false;
+        const auto outage_end = now_ms();
+        notes.line("the store answers again");
+        sleep_ms(change_after_ms);
+        const auto route = "added" + std::to_string(round);
+        platform.put("keyed.op", "config", configuration(2 + round, route));
+        const auto acknowledged = now_ms();
+        notes.line("version " + std::to_string(2 + round) + " with the public route /" + route + "/ is acknowledged");
+        const auto from = std::max(acknowledged + config_apply_ms, outage_end + stable_window_ms) + 20;
+        sleep_ms(from - now_ms());
+        for (int number = 0; now_ms() < outage_end + stable_window_ms + 1500; ++number)
         {
-            sleep_ms(4000);
-        }
-        sleep_ms(50 * round);
-        auto* const leaver = servers[static_cast<std::size_t>(round)].get();
-        {
-            const std::scoped_lock lock(listed_mutex);
-            std::erase(listed, leaver);
-            platform.put("keyed.servers", leaver->id(), "");
-        }
-        left.push_back({leaver->id(), now_ms()});
-        notes.line("the entry of " + leaver->id() + " is removed");
-        // The server goes on for a little longer than `drain_ms`.
-        sleep_ms(6000);
-    }
-    ended = true;
-    for (auto& caller : callers)
-    {
-        caller.join();
-    }
-    heartbeats.join();
-    int late = 0;
-    for (const auto& leaver : left)
-    {
-        for (const auto& each : servers)
-        {
-            for (const auto& run : each->runs())
+            for (const auto& vm : vms)
             {
-                const auto after = run.first - leaver.acknowledged_at_;
-                if (each->id() == leaver.server_ && after > drain_ms)
+                const auto id = "look-" + std::to_string(round) + "-" + std::to_string(number) + "-" + vm->name();
+                const auto sent = now_ms();
+                const auto answer = ask(vm->front(), "GET", "/" + route + "/x", id, milliseconds{1000});
+                ++asked;
+                if (answer && answer->status() == 404)
                 {
                     ++late;
-                    notes.line("BROKEN DRAIN: " + run.second + " ran at " + leaver.server_ + " " +
-                               std::to_string(after) + " ms after the removal of its entry was acknowledged");
+                    notes.line("BROKEN CONFIG: " + vm->name() + " answered 404 to a request sent " +
+                               std::to_string(sent - acknowledged) + " ms after the acknowledgement and " +
+                               std::to_string(sent - outage_end) + " ms after the end of the outage");
                 }
             }
+            sleep_ms(50);
         }
     }
-    notes.line(std::to_string(answered.load()) + " requests answered with 200, " + std::to_string(late) +
-               " ran later than drain_ms at a server that had left");
+    ended = true;
+    heartbeats.join();
     vms.clear();
-    const int held = late > 0 ? 1 : 0;
-    finish(answered == 0 ? 2 : held,
-           std::to_string(answered.load()) + " requests answered, " + std::to_string(late) + " ran too late");
+    const auto summary = std::to_string(late) + " of " + std::to_string(asked) + " requests were refused with 404";
+    notes.line(summary);
+    finish(late > 0 ? 1 : 0, summary);
 }
