--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -92,6 +92,8 @@
                 const auto sent = now_ms();
                 const auto answer = ask(vm->front(), "GET", "/" + route + "/x", id, milliseconds{1000});
                 ++asked;
+                notes.line("sent to " + vm->name() + ": GET /" + route + "/x, Attempt-Id " + id + ", answered " +
+                           (answer ? answer->start_line_ : "nothing"));
                 if (answer && answer->status() == 404)
                 {
                     ++late;
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -90,6 +90,8 @@
                 const auto& vm = *vms[1 + static_cast<std::size_t>(number % 2)];
                 const auto id = "c" + std::to_string(caller) + "-" + std::to_string(number);
                 const auto answer = ask(vm.front(), "GET", "/status/bins", id, milliseconds{1000});
+                notes.line("sent to " + vm.name() + ": GET /status/bins, Attempt-Id " + id + ", answered " +
+                           (answer ? answer->start_line_ : "nothing"));
                 answered += answer && answer->status() == 200 ? 1 : 0;
                 sleep_ms(pause_ms);
             }
