Reproduce begun streams that are closed although their server would have gone on

Callers saw streams end without a whole answer. Three tests bring it about without a stop: the server of a begun stream is silent for a while, is given up, and the next one rejects the request (1) or fails (2); or the server ends while all others pause for 400 ms (3). The caller's connection is then closed, in (1) and (2) after 3.4 s of a limit of 10 s, 0.3 s before the silent server goes on; in (3) at once.

Nothing of the product is changed.

--- a/tests/gateway/fake_server.hpp
+++ b/tests/gateway/fake_server.hpp
@@ -24,6 +24,8 @@
     milliseconds pause_{0};   ///< between two repetitions of `endless_`
     bool reset_ = false;      ///< after the bytes were received, reset the connection instead of closing it
     bool crash_ = false;      ///< after the bytes were sent, close the connection and accept no others
+    std::string later_{};     ///< sent after the bytes and a silence of `silence_`
+    milliseconds silence_{0};
 };
 
 /// @brief A backend server on the loopback interface that responds as a test's function says.
@@ -64,6 +66,12 @@
     const auto response = server->script_(message);
     co_await boost::asio::async_write(socket, boost::asio::buffer(response.bytes_),
                                       boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+    if (!response.later_.empty())
+    {
+        co_await sleep_for(response.silence_);
+        co_await boost::asio::async_write(socket, boost::asio::buffer(response.later_),
+                                          boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+    }
     if (response.reset_)
     {
         co_await sleep_for(milliseconds{50});  // a reset discards bytes that the gateway has not read
