Log why a begun answer ends, what a stop cuts off, and how late the loop is

The logs could not tell the hypotheses apart: a refusal without its reason among the fields, no line for a begun stream that is closed, one number for all requests that a stop cuts off, and nothing about a loop that runs late.

- 1033 begun_answer_ended: how the last send ended, time left, whether a stop was under way;
- 1031 has its reason as a field;
- 4063 request_cut, one line for each request (50 at most) that the end of the process cuts off, with where it stands;

--- a/packages/gateway/include/cornelstall/gateway.hpp
+++ b/packages/gateway/include/cornelstall/gateway.hpp
@@ -14,6 +14,7 @@
 #include "cornelstall/gateway/process/gateway_process.hpp"
 #include "cornelstall/gateway/process/gateway_settings.hpp"
 #include "cornelstall/gateway/process/gateway_state.hpp"
+#include "cornelstall/gateway/process/loop_lateness.hpp"
 #include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/process/record_log.hpp"
 #include "cornelstall/gateway/process/server_list.hpp"
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -8,6 +8,7 @@
 #include "cornelstall/gateway/connection/caller_socket.hpp"
 #include "cornelstall/gateway/process/buffer_budget.hpp"
 #include "cornelstall/gateway/process/gateway_settings.hpp"
+#include "cornelstall/gateway/process/loop_lateness.hpp"
 #include "cornelstall/gateway/process/server_list.hpp"
 #include "cornelstall/gateway/process/wait_queue.hpp"
 #include "cornelstall/gateway/request/protocol.hpp"
@@ -58,6 +59,7 @@
     };
 
     buffer_budget answer_buffers_;
+    loop_lateness loop_lateness_;
     bool stopping_ = false;       ///< SIGTERM or SIGINT was received
     time_point end_requests_at_;  ///< while stopping: requests without a begun answer get their final answer then
     std::set<exchange*> open_exchanges_;  ///< requests under way
--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -29,6 +29,7 @@
 constexpr event_kind gateway_stopping{4052, "gateway_stopping"};
 constexpr event_kind gateway_stopped{4053, "gateway_stopped"};
 constexpr event_kind handler_failed{4055, "handler_failed"};
+constexpr event_kind request_cut{4063, "request_cut"};
 
 /// The load balancer checks readiness once a second and removes a VM after two failed checks. New connections arrive
 /// until then.
@@ -40,6 +41,8 @@
 constexpr milliseconds final_answers_time{500};
 /// After the listening socket is closed, the first request of a new connection is awaited for this long.
 constexpr milliseconds first_request_wait{500};
+/// Bounds the lines about requests that the end of the process cuts off.
+constexpr std::size_t max_cut_lines = 50;
 
 /// Page of the metrics listener with the prompt parts that are suspected of crashing servers.
 constexpr const char* prompt_parts_path = "/prompt-parts";
@@ -142,6 +145,40 @@
     }
 }
 
+std::string text_of(milliseconds value)
+{
+    return std::to_string(value.count());
+}
+
+/// Where a request stands, for the log.
+const char* stage_of(const exchange& current)
+{
+    const auto connection = current.watch_ ? current.watch_->backend_connection_.lock() : nullptr;
+    const bool at_server = connection != nullptr && connection->socket_.is_open();
+    if (current.head_sent_)
+    {
+        return at_server ? "answering" : "between_servers";
+    }
+    return at_server ? "sent" : "waiting";
+}
+
+/// Logs the requests that the end of the process cuts off.
+void log_cut_requests(const gateway_state& state)
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::ranges::for_each(state.open_exchanges_ | std::views::take(max_cut_lines), [now](const exchange* current) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - current->arrived_);
+        log_event(severity::warning, request_cut, "the process ends before the request has its answer",
+                  {{"request", current->parsed_request_.id_.get()},
+                   {"stage", stage_of(*current)},
+                   {"server", current->tried_.empty() ? "none" : current->tried_.back().get()},
+                   {"sends", std::to_string(current->sends_)},
+                   {"last_event", current->last_event_id_ ? std::to_string(*current->last_event_id_) : "none"},
+                   {"age_ms", text_of(age)},
+                   {"time_left_ms", text_of(remaining_time(*current))}});
+    });
+}
+
 task<> stop_gateway(gateway_state& state, listeners& acceptors)
 {
     const auto started_at = clock::now();
@@ -152,7 +189,8 @@
     notify_capacity_changed(state.wait_queues_);
     log_event(severity::info, gateway_stopping, "stop signal received; no longer ready, finishing the open requests",
               {{"open_requests", std::to_string(state.open_requests_)},
-               {"open_callers", std::to_string(state.open_callers_)}});
+               {"open_callers", std::to_string(state.open_callers_)},
+               {"loop_late_ms", text_of(longest_lateness(state.loop_lateness_))}});
     state.schedule_load_report_();
     // Connections that are open stay so until then, because a request may be on its way on any of them. The answer to
     // it tells the caller to close.
@@ -161,8 +199,13 @@
     boost::system::error_code ignored;  // the process ends even if the acceptor cannot be closed
     acceptors.callers_.close(ignored);
     co_await finish_requests(state, end_at);
+    const auto lasted = std::chrono::duration_cast<milliseconds>(clock::now() - started_at);
+    log_cut_requests(state);
     log_event(severity::info, gateway_stopped, "gateway stopped",
-              {{"open_requests", std::to_string(state.open_requests_)}});
+              {{"open_requests", std::to_string(state.open_requests_)},
+               {"open_callers", std::to_string(state.open_callers_)},
+               {"lasted_ms", text_of(lasted)},
+               {"loop_late_ms", text_of(longest_lateness(state.loop_lateness_))}});
 }
 
 task<> run_until_stopped(gateway_state& state, listeners& acceptors, const gateway_callbacks& callbacks)
@@ -217,6 +260,7 @@
     const auto exchange = std::make_shared<load_exchange>(
         state, boost::asio::ip::udp::endpoint(load_endpoint.address(), load_endpoint.port()));
     const task_guard tasks(context);
+    spawn_restarting(state.executor_, "measure_lateness", [&state] { return measure_lateness(state); });
     spawn_restarting(state.executor_, "receive_load", [exchange] { return receive_load(exchange); });
     spawn_restarting(state.executor_, "report_load", [exchange] { return report_load(exchange); });
     spawn_restarting(state.executor_, "accept_callers",
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -20,6 +20,7 @@
 
 constexpr event_kind answered_by_gateway{1021, "request_answered_by_vm"};
 constexpr event_kind request_served{1022, "request_served"};
+constexpr event_kind begun_answer_ended{1033, "begun_answer_ended"};
 
 /// Prompts of routes with a longer latency target keep engines busy for seconds.
 constexpr milliseconds long_prompt_target{2500};
@@ -57,6 +58,18 @@
     return time_to_return(facts, std::uniform_real_distribution<double>(0.0, 1.0)(state.random_));
 }
 
+/// Logs why a caller's connection is closed in the middle of its answer.
+void log_begun_answer_ended(const exchange& current, send_result result)
+{
+    log_event(severity::info, begun_answer_ended, name_of(result),
+              {{"request", current.parsed_request_.id_.get()},
+               {"sends", std::to_string(current.sends_)},
+               {"possible_runs", std::to_string(current.possible_runs_)},
+               {"last_event", current.last_event_id_ ? std::to_string(*current.last_event_id_) : "none"},
+               {"time_left_ms", text_of(remaining_time(current))},
+               {"stopping", current.state_.stopping_ ? "1" : "0"}});
+}
+
 /// Ends a request that no server has answered completely.
 task<> answer_failed_request(exchange& current, send_result result)
 {
@@ -64,6 +77,7 @@
     {
         // The caller may have received part of the answer; only a closed connection tells it that the answer is
         // incomplete.
+        log_begun_answer_ended(current, result);
         close_socket(*current.caller_);
         current.keep_alive_ = false;
         co_return;
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -357,6 +357,7 @@
 {
     log_event(severity::info, request_waited, step.decision_.reason_,
               {{"request", current.parsed_request_.id_.get()},
+               {"reason", step.decision_.reason_},
                {"action", step.decision_.action_ == admission_action::send ? "send" : "refuse"},
                {"waited_ms", std::to_string(step.facts_.waited_.count())},
                {"time_left_ms", std::to_string(step.facts_.time_left_.count())},
