Move the planning of a send into a file of its own

The planning (work of a request, choice, admission, wait) is now plan_request.cpp, whose interface is wait_for_plan(). No function is changed.

--- /dev/null
+++ b/packages/gateway/src/request/plan_request.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <optional>
+
+#include "cornelstall/gateway/request/exchange.hpp"
+#include "request/send_plan.hpp"
+
+namespace cornelstall
+{
+
+/// @brief Waits until servers can take the request, in the order of the wait queue.
+/// @return the plan, or nothing when the request is to be refused
+[[nodiscard]] task<std::optional<send_plan>> wait_for_plan(exchange& current, engine_hold& hold);
+
+}  // namespace cornelstall
