Wait for a silent server until another one has answered the request

Cause: when a server had been silent for 0.85 of the time after which callers leave, its connection was closed if another server, an attempt and a retry were there at that moment. What came after could fail: the next server rejects the request, fails, or is silent, too, or all of them pause. Nothing was left then that could go on with the stream, and the caller's connection was closed. Class: something that works, slowly, is given up for a replacement that has not been obtained yet.

Change: a read of a server's answer goes on while another server is tried (answer_reader). The silent send keeps its connection, its place in the load reports and its memory until the other server has sent the first part of its answer, and only then is it ended. If the other one rejects, fails or breaks off before that, or the silent one goes on first, the silent one is read again. Other servers are tried again every 250 ms while it is silent, within the bounds on sends and on the retry budget, which is now charged with the send. Holds for requests without a first byte, too. set_conditional_deadline() is gone.

--- a/packages/gateway/include/cornelstall/gateway/connection/caller_socket.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/caller_socket.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <functional>
 #include <memory>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -29,11 +28,6 @@
 /// @brief Closes @a connection at @a deadline. Replaces any previous deadline of the connection.
 void set_close_deadline(deadline_socket& connection, time_point deadline);
 
-/// @brief Closes @a connection at @a early_deadline if @a may_close_early returns true at that time, otherwise at
-/// @a deadline. Replaces any previous deadline of the connection.
-void set_conditional_deadline(deadline_socket& connection, time_point early_deadline, time_point deadline,
-                              std::function<bool()> may_close_early);
-
 /// @brief Removes the deadline of @a connection.
 void clear_close_deadline(deadline_socket& connection);
 
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -25,6 +25,22 @@
     std::weak_ptr<backend_socket> backend_connection_;  ///< closed when the caller disconnects
 };
 
+struct answer_reader;
+struct send_resources;
+
+/// @brief State of one send of a request to a server. A send whose server is silent keeps it while another server is
+/// tried.
+struct send_state
+{
+    execution_id execution_id_;                          ///< identifies the send in load reports
+    server_id server_;                                   ///< the server of the send
+    std::vector<prefill_helper> helpers_;                ///< engines that prefill a part of the prompt
+    std::vector<std::shared_ptr<memory_lease>> leases_;  ///< memory that the helpers hold
+    bool lost_unanswered_ = false;                       ///< the connection was lost before the first event
+    bool server_crashed_ = false;                        ///< the server ended
+    std::shared_ptr<send_resources> resources_;
+};
+
 /// @brief One caller's request and its state until the answer has been sent.
 struct exchange
 {
@@ -46,17 +62,14 @@
     std::chrono::nanoseconds boot_deadline_{0};  ///< the deadline as boot time, which goes on while the VM is suspended
     std::shared_ptr<caller_watch> watch_;
 
-    execution_id execution_id_;            ///< identifies the current send in load reports
-    std::vector<prefill_helper> helpers_;  ///< engines that prefill a part of the prompt in the current send
-    std::vector<std::shared_ptr<memory_lease>> leases_;  ///< memory that the helpers of the current send hold
+    send_state send_;  ///< the send that was begun last
+    std::vector<std::shared_ptr<send_resources>>
+        silent_sends_;  ///< sends that still wait while another server is tried
     std::vector<server_id> tried_;
     int sends_ = 0;                                    ///< attempts to send the request to a server
     int connected_sends_ = 0;                          ///< sends whose server accepted the connection
     int possible_runs_ = 0;                            ///< sends after which the server may have run the request
     bool part_trial_ = false;                          ///< sent although a part of its prompt is blocked
-    bool lost_unanswered_ = false;                     ///< the last send lost its connection before the first event
-    bool server_crashed_ = false;                      ///< the server of the last send ended
-    bool retry_reserved_ = false;                      ///< the next send has already been charged to the retry budget
     bool head_sent_ = false;                           ///< sending the head of the answer to the caller has begun
     bool keep_alive_ = true;                           ///< the caller's connection stays open for another request
     bool answered_ = false;                            ///< the caller has the whole answer or all that could be sent
@@ -107,11 +120,27 @@
 void copy_head(const exchange& current, const boost::beast::http::response_header<>& from,
                boost::beast::http::response_header<>& to);
 
-/// @brief Relays the event stream of an answer whose head @a parser has already read.
-/// @param max_silence longest time without data after which the send is abandoned if another server can continue
-[[nodiscard]] task<send_result> relay_events(
-    exchange& current, std::shared_ptr<backend_socket> server,
-    boost::beast::http::response_parser<boost::beast::http::buffer_body>& parser, milliseconds max_silence);
+/// @brief Relays the event stream of an answer whose head @a reader has already read.
+/// @param max_silence longest time without an event after which other servers are tried
+[[nodiscard]] task<send_result> relay_events(exchange& current, std::shared_ptr<answer_reader> reader,
+                                             milliseconds max_silence);
+
+/// @brief Reads with @a read. While the server is silent, sends the request to another one whenever one can take it,
+/// and goes on with the silent one unless the other one answers first.
+/// @param read read_head() or read_part()
+/// @param silent_at when the server counts as silent; moved on after a try
+/// @return the result of the other server's send when that has ended the request, or nothing when the read has
+/// completed
+[[nodiscard]] task<std::optional<send_result>> read_or_switch(exchange& current, std::shared_ptr<answer_reader> reader,
+                                                              task<bool> (*read)(std::shared_ptr<answer_reader>,
+                                                                                 time_point),
+                                                              time_point& silent_at);
+
+/// @brief When a server without progress from now on counts as silent; never for a request that must not be repeated.
+[[nodiscard]] time_point switch_time(const exchange& current, milliseconds max_silence);
+
+/// @brief Ends the sends whose servers were silent, because another server answers the request.
+void release_silent_sends(exchange& current);
 
 /// @brief Sends a complete answer to the caller.
 [[nodiscard]] task<send_result> deliver(exchange& current, http_response answer);
@@ -131,8 +160,8 @@
 /// @brief True when the request must not be sent because servers crash on a part of its prompt.
 [[nodiscard]] bool is_part_blocked(const exchange& current);
 
-/// @brief True when a send to an unresponsive server may be abandoned: the request is safe to repeat, an attempt is
-/// left, an untried server can be chosen, and the retry budget allows another send.
+/// @brief True when another server may be tried while the server of the request is silent: the request is safe to
+/// repeat, an attempt is left, an untried server can be chosen, and the retry budget allows another send.
 [[nodiscard]] bool can_switch_server(const exchange& current);
 
 /// @brief The input for the choice of a server, except `work_` and `hold_id_`.
@@ -144,9 +173,6 @@
 /// @brief True when the prompt needs more KV memory than one engine has.
 [[nodiscard]] bool prompt_exceeds_engine_memory(const exchange& current);
 
-/// @brief Closes @a server at @a switch_at if another server can take the request then, else at the request's deadline.
-void set_send_deadline(exchange& current, backend_socket& server, time_point switch_at);
-
 /// @brief Sets the deadline of the request to @a limit after its arrival.
 void set_deadline(exchange& current, milliseconds limit);
 
--- a/packages/gateway/src/connection/deadline_socket.cpp
+++ b/packages/gateway/src/connection/deadline_socket.cpp
@@ -67,28 +67,6 @@
         });
 }
 
-void set_conditional_deadline(deadline_socket& connection, time_point early_deadline, time_point deadline,
-                              std::function<bool()> may_close_early)
-{
-    connection.deadline_timer_.expires_at(early_deadline);
-    connection.deadline_timer_.async_wait(
-        [weak = connection.weak_from_this(), early_deadline, deadline,
-         may_close_early = std::move(may_close_early)](const boost::system::error_code& cancelled) {
-            const auto locked = weak.lock();
-            if (cancelled || !locked || locked->deadline_timer_.expiry() != early_deadline)
-            {
-                return;
-            }
-            if (!may_close_early())
-            {
-                set_close_deadline(*locked, deadline);
-                return;
-            }
-            locked->expired_ = true;
-            close_socket(*locked);
-        });
-}
-
 void clear_close_deadline(deadline_socket& connection)
 {
     connection.deadline_timer_.expires_at(time_point::max());
--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <string_view>
 
@@ -7,9 +6,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "connection/answer_reader.hpp"
 #include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
 
@@ -26,7 +25,6 @@
 
 constexpr event_kind stream_cut{2032, "stream_cut"};
 
-constexpr std::size_t read_buffer_bytes = 4096;
 constexpr std::string_view event_end = "\n\n";
 constexpr std::string_view id_field = "id:";
 /// A caller that does not accept a chunk within this time has stopped reading.
@@ -85,6 +83,7 @@
 
 task<bool> send_events(exchange& current, const answer_parser& parser, std::string_view events)
 {
+    release_silent_sends(current);
     const bool head_sent = co_await send_head(current, parser);
     if (!head_sent)
     {
@@ -101,6 +100,7 @@
 
 task<bool> send_end_of_stream(exchange& current, const answer_parser& parser)
 {
+    release_silent_sends(current);
     const bool head_sent = co_await send_head(current, parser);
     if (!head_sent)
     {
@@ -164,7 +164,7 @@
 {
     auto& state = current.state_;
     const auto own_entry = std::ranges::find_if(state.local_work_, [&current](const reported_work& entry) {
-        return entry.work_.key_ == current.execution_id_;
+        return entry.work_.key_ == current.send_.execution_id_;
     });
     if (own_entry == state.local_work_.end())
     {
@@ -187,7 +187,7 @@
 send_result record_cut_stream(exchange& current, const backend_socket& server)
 {
     const auto result = record_incomplete_send(current);
-    current.lost_unanswered_ = !server.expired_ && !current.time_to_first_event_;
+    current.send_.lost_unanswered_ = !server.expired_ && !current.time_to_first_event_;
     if (result != send_result::broken_off)
     {
         const bool timed_out = result == send_result::out_of_time;
@@ -217,33 +217,33 @@
     }
     if (!first)
     {
-        record_pass_duration(current, current.tried_.back(), event_gap);
+        record_pass_duration(current, current.send_.server_, event_gap);
     }
     record_generation_progress(current, *current.service_->engine_);
 }
 
 }  // namespace
 
-task<send_result> relay_events(exchange& current, std::shared_ptr<backend_socket> server, answer_parser& parser,
-                               milliseconds max_silence)
+task<send_result> relay_events(exchange& current, std::shared_ptr<answer_reader> reader, milliseconds max_silence)
 {
     std::string pending;
     buffer_share share(current.state_.answer_buffers_);
-    std::array<char, read_buffer_bytes> read_buffer{};
     bool any_delivered = false;
-    while (!parser.is_done())
+    auto silent_at = switch_time(current, max_silence);
+    while (!reader->parser_.is_done())
     {
-        parser.get().body().data = read_buffer.data();
-        parser.get().body().size = read_buffer.size();
-        boost::system::error_code ec;
-        co_await http::async_read_some(server->socket_, server->buffer_, parser, redirect_error(use_awaitable, ec));
-        pending.append(read_buffer.data(), read_buffer.size() - parser.get().body().size);
-        const bool connection_lost = ec && ec != http::error::need_buffer;
+        const auto taken_over = co_await read_or_switch(current, reader, read_part, silent_at);
+        if (taken_over)
+        {
+            co_return *taken_over;
+        }
+        pending.append(last_part(*reader));
+        const bool connection_lost = reader->failed_ && reader->failed_ != http::error::need_buffer;
         const auto last_event_end = pending.rfind(event_end);
         if (last_event_end != std::string::npos)
         {
             const std::string_view events(pending.data(), last_event_end + event_end.size());
-            const bool delivered = co_await send_events(current, parser, events);
+            const bool delivered = co_await send_events(current, reader->parser_, events);
             if (!delivered)
             {
                 co_return send_result::broken_off;
@@ -251,19 +251,19 @@
             record_delivered_events(current, events, !any_delivered);
             any_delivered = true;
             // Only a complete event counts as progress: a stalled server may still send a byte now and then.
-            set_send_deadline(current, *server, std::chrono::steady_clock::now() + max_silence);
+            silent_at = switch_time(current, max_silence);
             pending.erase(0, last_event_end + event_end.size());
         }
         if (connection_lost || pending.size() > max_event_bytes || !share.grow_to(pending.size()))
         {
-            co_return record_cut_stream(current, *server);
+            co_return record_cut_stream(current, *reader->connection_);
         }
     }
     if (!pending.empty())
     {
-        co_return record_cut_stream(current, *server);
+        co_return record_cut_stream(current, *reader->connection_);
     }
-    const bool end_sent = co_await send_end_of_stream(current, parser);
+    const bool end_sent = co_await send_end_of_stream(current, reader->parser_);
     ++current.possible_runs_;
     co_return end_sent ? send_result::answered : send_result::broken_off;
 }
--- a/packages/gateway/src/request/send_plan.hpp
+++ b/packages/gateway/src/request/send_plan.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "cornelstall/gateway/request/exchange.hpp"
+#include "cornelstall/gateway/request/memory_lease.hpp"
 
 namespace cornelstall
 {
@@ -35,6 +36,51 @@
     execution_id key_;
 };
 
+/// @brief The memory reservations of one send; released by the destructor.
+class memory_reservations
+{
+  public:
+    memory_reservations() = default;
+    memory_reservations(const memory_reservations&) = delete;
+    memory_reservations& operator=(const memory_reservations&) = delete;
+    memory_reservations(memory_reservations&&) = delete;
+    memory_reservations& operator=(memory_reservations&&) = delete;
+    ~memory_reservations()
+    {
+        release();
+    }
+
+    void add(std::shared_ptr<memory_lease> lease)
+    {
+        leases_.push_back(std::move(lease));
+    }
+
+    void release()
+    {
+        std::ranges::for_each(leases_, [](const std::shared_ptr<memory_lease>& lease) { end_lease(*lease); });
+        leases_.clear();
+    }
+
+  private:
+    std::vector<std::shared_ptr<memory_lease>> leases_;
+};
+
+/// @brief What a send holds until it has ended or another server answers the request.
+struct send_resources
+{
+    send_resources(exchange& current, const send_plan& plan, std::unique_ptr<memory_reservations> reservations)
+        : server_(plan.server_.id_),
+          registration_(std::in_place, current.state_, plan.parts_, current.send_.execution_id_),
+          reservations_(std::move(reservations))
+    {}
+
+    server_id server_;
+    std::optional<load_registration> registration_;
+    std::unique_ptr<memory_reservations> reservations_;
+    std::shared_ptr<answer_reader> reader_;  ///< null until the server has accepted the connection
+    bool superseded_ = false;                ///< another server answers the request
+};
+
 /// @brief Keeps engines free for a joint prefill until all engines that it needs are idle.
 struct engine_hold
 {
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -6,9 +6,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "connection/answer_reader.hpp"
 #include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/process/server_notices.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
+#include "request/send_plan.hpp"
 
 namespace cornelstall
 {
@@ -28,16 +30,15 @@
 /// Servers are at most a few milliseconds away, and TCP repeats a lost SYN only after 1 s. With this timeout another
 /// server can still answer a short prompt within its latency target.
 constexpr milliseconds connect_timeout{60};
-/// A send is abandoned for another server when the first byte takes longer than the forecast times this factor plus
-/// this allowance.
+/// A server counts as silent when the first byte takes longer than the forecast times this factor plus this allowance.
 constexpr int forecast_error_factor = 3;
 constexpr milliseconds forecast_error_allowance{1500};
-/// Requests to servers that are not engines are abandoned for another server after this multiple of the latency target.
+/// Servers that are not engines count as silent after this multiple of the latency target.
 constexpr int plain_timeout_factor = 4;
-/// A silent server is abandoned after this share of the time after which the caller abandons the stream, so that
-/// another server can still continue it.
+/// Another server is tried after this share of the time after which the caller abandons the stream, so that it can
+/// still continue the stream.
 constexpr double silence_share = 0.85;
-/// Upper limit of the time after which a silent server is abandoned.
+/// Upper limit of the time after which another server is tried.
 constexpr milliseconds max_silence{4000};
 /// Answers that are not relayed as event streams are buffered in memory until they are complete.
 /// Longer ones are rejected.
@@ -61,7 +62,7 @@
     details.organisation_ = current.organisation_;
     details.time_left_ = remaining_time(current);
     details.urgency_ = current.priority_;
-    details.helpers_ = current.helpers_;
+    details.helpers_ = current.send_.helpers_;
     details.resume_after_ = current.last_event_id_ ? current.last_event_id_ : current.parsed_request_.resume_after_;
     http_request message = current.request_;
     current.state_.protocol_.write_forward_fields_(details, message);
@@ -84,16 +85,14 @@
     return outgoing;
 }
 
-/// Time at which a send without a first byte is abandoned if another server can take the request.
-time_point first_byte_deadline(const exchange& current, const placement_forecast& forecast)
+/// Time after which a server without a first byte counts as silent.
+milliseconds max_first_byte_time(const exchange& current, const placement_forecast& forecast)
 {
-    const auto timeout = current.service_->engine_
-                             ? forecast.first_token_ * forecast_error_factor + forecast_error_allowance
-                             : current.route_->latency_target_ * plain_timeout_factor;
-    return std::chrono::steady_clock::now() + timeout;
+    return current.service_->engine_ ? forecast.first_token_ * forecast_error_factor + forecast_error_allowance
+                                     : current.route_->latency_target_ * plain_timeout_factor;
 }
 
-/// Longest time without data in a stream before the send is abandoned if another server can continue it.
+/// Time without an event after which the server of a stream counts as silent.
 milliseconds silence_limit(const route& matched)
 {
     const auto caller_timeout = abandon_timeout(matched.latency_target_, matched.max_event_gap_);
@@ -113,7 +112,7 @@
                                   const boost::system::error_code& ec)
 {
     const auto result = record_incomplete_send(current);
-    current.lost_unanswered_ = !connection.expired_ && !current.time_to_first_event_;
+    current.send_.lost_unanswered_ = !connection.expired_ && !current.time_to_first_event_;
     current.state_.metrics_.count("gateway_answers_missing_total", {{"expired", connection.expired_ ? "1" : "0"}});
     log_event(severity::info, answer_missing, ec.message(),
               {{"request", current.parsed_request_.id_.get()},
@@ -224,7 +223,7 @@
         return "server_left_or_paused";
     }
     const bool memory_held = std::ranges::all_of(
-        current.leases_, [](const std::shared_ptr<memory_lease>& lease) { return is_held(*lease); });
+        current.send_.leases_, [](const std::shared_ptr<memory_lease>& lease) { return is_held(*lease); });
     if (!memory_held)
     {
         return "memory_expired";
@@ -245,23 +244,23 @@
     return status >= 500;
 }
 
-task<send_result> relay_plain(exchange& current, listed_server server, std::shared_ptr<backend_socket> connection,
-                              answer_parser& parser, server_answer answer)
+task<send_result> relay_plain(exchange& current, listed_server server, std::shared_ptr<answer_reader> reader,
+                              server_answer answer)
 {
-    auto body = co_await read_body(current, connection, parser);
+    auto body = co_await read_body(current, reader->connection_, reader->parser_);
     if (!body)
     {
         co_return reject_answer(current, server, "not_whole");
     }
-    close_socket(*connection);
+    close_socket(*reader->connection_);
     ++current.possible_runs_;
     if (current.head_sent_)
     {
         // Part of a stream has been sent. Only a server that resumes it can complete it.
         co_return send_result::server_failed;
     }
-    auto complete_answer = make_plain_answer(current, parser, std::move(*body));
-    const bool last_attempt = current.possible_runs_ >= current.route_->max_attempts_;
+    auto complete_answer = make_plain_answer(current, reader->parser_, std::move(*body));
+    const bool last_attempt = current.possible_runs_ >= current.route_->max_attempts_ && current.silent_sends_.empty();
     if (is_server_failure(answer.status_) && is_retry_safe(current) && !last_attempt)
     {
         current.error_answer_ = std::move(complete_answer);
@@ -270,10 +269,10 @@
     co_return co_await deliver(current, std::move(complete_answer));
 }
 
-task<send_result> relay_answer(exchange& current, listed_server server, std::shared_ptr<backend_socket> connection,
-                               answer_parser& parser, time_point sent_at)
+task<send_result> relay_answer(exchange& current, listed_server server, std::shared_ptr<answer_reader> reader,
+                               time_point sent_at)
 {
-    const auto answer = current.state_.protocol_.read_answer_(parser.get());
+    const auto answer = current.state_.protocol_.read_answer_(reader->parser_.get());
     if (answers_another_request(current, answer))
     {
         co_return reject_answer(current, server, "answers_another_request");
@@ -295,10 +294,9 @@
     constexpr unsigned ok = 200;
     if (current.route_->kind_ != request_kind::streaming || answer.status_ != ok)
     {
-        set_close_deadline(*connection, current.deadline_);
-        co_return co_await relay_plain(current, server, connection, parser, answer);
+        co_return co_await relay_plain(current, server, reader, answer);
     }
-    co_return co_await relay_events(current, connection, parser, silence_limit(*current.route_));
+    co_return co_await relay_events(current, reader, silence_limit(*current.route_));
 }
 
 }  // namespace
@@ -353,22 +351,22 @@
     ++current.connected_sends_;
     const auto sent_at = std::chrono::steady_clock::now();
     current.watch_->backend_connection_ = connection;
-    set_send_deadline(current, *connection, first_byte_deadline(current, forecast));
+    set_close_deadline(*connection, current.deadline_);
     const auto outgoing = start_sending(connection, make_server_request(current, server));
-    answer_parser parser;
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    parser.skip(current.request_.method() == http::verb::head);
-    boost::system::error_code ec;
-    co_await http::async_read_header(connection->socket_, connection->buffer_, parser,
-                                     redirect_error(use_awaitable, ec));
-    auto result = send_result::may_have_run;
-    if (ec)
+    const auto reader = std::make_shared<answer_reader>(connection);
+    current.send_.resources_->reader_ = reader;
+    reader->parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
+    reader->parser_.skip(current.request_.method() == http::verb::head);
+    auto silent_at = switch_time(current, max_first_byte_time(current, forecast));
+    const auto taken_over = co_await read_or_switch(current, reader, read_head, silent_at);
+    auto result = taken_over.value_or(send_result::may_have_run);
+    if (!taken_over && reader->failed_)
     {
-        result = record_missing_answer(current, server, *connection, ec);
+        result = record_missing_answer(current, server, *connection, reader->failed_);
     }
-    else
+    else if (!taken_over)
     {
-        result = co_await relay_answer(current, server, connection, parser, sent_at);
+        result = co_await relay_answer(current, server, reader, sent_at);
     }
     clear_close_deadline(*connection);
     close_socket(*connection);
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -284,22 +284,6 @@
            can_retry(current.state_.retry_budget_, current.service_->id_, std::chrono::steady_clock::now());
 }
 
-void set_send_deadline(exchange& current, backend_socket& server, time_point switch_at)
-{
-    if (!is_retry_safe(current) || switch_at >= current.deadline_)
-    {
-        set_close_deadline(server, current.deadline_);
-        return;
-    }
-    set_conditional_deadline(server, switch_at, current.deadline_, [&current] {
-        // Charges the retry now, because other requests may use up the budget before the next send.
-        current.retry_reserved_ =
-            can_switch_server(current) &&
-            take_retry(current.state_.retry_budget_, current.service_->id_, std::chrono::steady_clock::now());
-        return current.retry_reserved_;
-    });
-}
-
 void set_deadline(exchange& current, milliseconds limit)
 {
     const auto elapsed = std::chrono::steady_clock::now() - current.arrived_;
@@ -387,6 +371,7 @@
         answer.prepare_payload();
     }
     current.answer_status_ = answer.result_int();
+    release_silent_sends(current);
     set_close_deadline(*current.caller_, current.deadline_ + std::chrono::seconds{1});
     boost::system::error_code ec;
     current.head_sent_ = true;
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <utility>
 
+#include "connection/answer_reader.hpp"
 #include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
 #include "cornelstall/gateway/request/memory_lease.hpp"
@@ -17,6 +18,7 @@
 constexpr event_kind server_chosen{1023, "server_chosen"};
 constexpr event_kind send_ended{1024, "send_ended"};
 constexpr event_kind engines_joined{1029, "engines_joined"};
+constexpr event_kind server_silent{1034, "server_silent"};
 
 /// Sends allowed beyond the attempts of the route, because sends that servers refuse do not count as attempts.
 constexpr int additional_sends = 2;
@@ -24,45 +26,30 @@
 constexpr int max_refused_plans = 3;
 /// A server process that has ended refuses a connection within one round trip.
 constexpr milliseconds crash_check_timeout{60};
+/// Time after which other servers are tried again while a server is silent.
+constexpr milliseconds switch_retry_delay{250};
 
-/// The memory reservations of one send; released by the destructor.
-class memory_reservations
+/// What prevents a planned send.
+enum class send_obstacle
 {
-  public:
-    memory_reservations() = default;
-    memory_reservations(const memory_reservations&) = delete;
-    memory_reservations& operator=(const memory_reservations&) = delete;
-    memory_reservations(memory_reservations&&) = delete;
-    memory_reservations& operator=(memory_reservations&&) = delete;
-    ~memory_reservations()
-    {
-        release();
-    }
-
-    void add(std::shared_ptr<memory_lease> lease)
-    {
-        leases_.push_back(std::move(lease));
-    }
-
-    void release()
-    {
-        std::ranges::for_each(leases_, [](const std::shared_ptr<memory_lease>& lease) { end_lease(*lease); });
-        leases_.clear();
-    }
-
-  private:
-    std::vector<std::shared_ptr<memory_lease>> leases_;
+    memory,
+    retry_budget
 };
 
+/// True when the bound on the number of sends allows another one.
+bool has_send_left(const exchange& current)
+{
+    return current.sends_ < current.route_->max_attempts_ + additional_sends;
+}
+
 /// True when another server may be tried after a send that ended with @a result.
 bool may_send_again(const exchange& current, send_result result)
 {
     const auto& parts = current.parsed_request_.prompt_parts_;
     const bool may_crash =
-        current.part_trial_ || (current.server_crashed_ && may_crash_again(current.state_.suspect_parts_, parts));
+        current.part_trial_ || (current.send_.server_crashed_ && may_crash_again(current.state_.suspect_parts_, parts));
     return (result == send_result::did_not_run || (is_retry_safe(current) && !may_crash)) &&
-           current.possible_runs_ < current.route_->max_attempts_ &&
-           current.sends_ < current.route_->max_attempts_ + additional_sends;
+           current.possible_runs_ < current.route_->max_attempts_ && has_send_left(current);
 }
 
 void log_plan(const exchange& current, const send_plan& plan)
@@ -107,7 +94,7 @@
 
 std::string make_reservation_id(const exchange& current, std::size_t part)
 {
-    return current.state_.settings_.name_ + "-" + std::to_string(current.execution_id_.get()) + "-" +
+    return current.state_.settings_.name_ + "-" + std::to_string(current.send_.execution_id_.get()) + "-" +
            std::to_string(part);
 }
 
@@ -115,8 +102,6 @@
 /// @return false when an engine did not confirm its reservation, which is recorded as full, or has reached its limit
 task<bool> reserve_memory(exchange& current, const send_plan& plan, memory_reservations& reservations)
 {
-    current.helpers_.clear();
-    current.leases_.clear();
     for (std::size_t index = 1; index < plan.parts_.size(); ++index)
     {
         const auto& part = plan.parts_[index];
@@ -142,9 +127,9 @@
                 co_return false;
             }
             reservations.add(lease);
-            current.leases_.push_back(lease);
+            current.send_.leases_.push_back(lease);
         }
-        current.helpers_.push_back({part.server_.address_, std::move(reservation)});
+        current.send_.helpers_.push_back({part.server_.address_, std::move(reservation)});
     }
     co_return true;
 }
@@ -155,26 +140,63 @@
 {
     const bool ended = co_await refuses_connections(current.state_.executor_, server.address_.get(),
                                                     std::chrono::steady_clock::now() + crash_check_timeout);
-    current.server_crashed_ = ended;
+    current.send_.server_crashed_ = ended;
     if (ended)
     {
         record_server_crash(current.state_, server, current.parsed_request_.prompt_parts_, sent_at);
     }
 }
 
-/// Sends the request once according to @a plan.
+/// Charges the retry budget unless the request has reached no server yet.
+bool take_retry_of(const exchange& current)
+{
+    if (current.connected_sends_ == 0 ||
+        take_retry(current.state_.retry_budget_, current.service_->id_, std::chrono::steady_clock::now()))
+    {
+        return true;
+    }
+    current.state_.metrics_.count("gateway_retries_refused_total", {{"reason", "budget"}});
+    return false;
+}
+
+/// Begins a send according to @a plan: reserves the memory that it needs and charges the retry budget.
+/// @return what prevents the send, or nothing when it can be executed
+task<std::optional<send_obstacle>> prepare_send(exchange& current, const send_plan& plan)
+{
+    current.send_ = send_state{};
+    current.send_.execution_id_ = plan.parts_.front().work_.key_;
+    current.send_.server_ = plan.server_.id_;
+    auto reservations = std::make_unique<memory_reservations>();
+    const bool reserved = co_await reserve_memory(current, plan, *reservations);
+    if (!reserved)
+    {
+        current.state_.metrics_.count("gateway_sends_refused_total", {{"reason", "memory"}});
+        co_return send_obstacle::memory;
+    }
+    if (!take_retry_of(current))
+    {
+        co_return send_obstacle::retry_budget;
+    }
+    current.send_.resources_ = std::make_shared<send_resources>(current, plan, std::move(reservations));
+    co_return std::nullopt;
+}
+
+/// Sends the request once according to @a plan, which prepare_send() has prepared.
 task<send_result> execute_plan(exchange& current, const send_plan& plan, engine_hold& hold)
 {
     ++current.sends_;
     current.tried_.push_back(plan.server_.id_);
     log_plan(current, plan);
-    const load_registration registration(current.state_, plan.parts_, current.execution_id_);
     hold.release();
-    current.lost_unanswered_ = false;
-    current.server_crashed_ = false;
+    const auto resources = current.send_.resources_;
     const auto sent_at = std::chrono::steady_clock::now();
     const auto result = co_await send_to_server(current, plan.server_, plan.forecast_);
-    const bool may_have_crashed = result == send_result::may_have_run && current.lost_unanswered_;
+    current.send_.resources_.reset();
+    if (resources->superseded_)
+    {
+        co_return result;
+    }
+    const bool may_have_crashed = result == send_result::may_have_run && current.send_.lost_unanswered_;
     if (may_have_crashed && !current.parsed_request_.prompt_parts_.empty())
     {
         co_await check_for_crash(current, plan.server_, sent_at);
@@ -186,6 +208,68 @@
     co_return result;
 }
 
+void log_server_silent(const exchange& current, const server_id& silent)
+{
+    log_event(severity::info, server_silent, "another server is tried while this one is silent",
+              {{"request", current.parsed_request_.id_.get()},
+               {"server", silent.get()},
+               {"last_event", current.last_event_id_ ? std::to_string(*current.last_event_id_) : "none"},
+               {"time_left_ms", std::to_string(remaining_time(current).count())}});
+}
+
+/// True when a server that was silent goes on while another one is tried.
+bool has_silent_server_resumed(const exchange& current)
+{
+    return std::ranges::any_of(current.silent_sends_,
+                               [](const std::shared_ptr<send_resources>& send) { return has_read(*send->reader_); });
+}
+
+/// When a read is interrupted to look at the servers of the request.
+time_point next_look(const exchange& current, time_point silent_at)
+{
+    return current.silent_sends_.empty() ? silent_at
+                                         : std::min(silent_at, std::chrono::steady_clock::now() + switch_retry_delay);
+}
+
+/// Sends the request to another server, if one can take it now, while the server of the present send is silent.
+/// @return the result when the other server's send has ended the request, or nothing when the silent one is waited for
+task<std::optional<send_result>> try_other_server(exchange& current)
+{
+    if (!can_switch_server(current) || !has_send_left(current))
+    {
+        co_return std::nullopt;
+    }
+    engine_hold hold;
+    hold.key_ = make_execution_id(current.state_);
+    const auto plan = plan_without_wait(current, hold);
+    if (!plan)
+    {
+        co_return std::nullopt;
+    }
+    const auto silent = current.send_;
+    const auto obstacle = co_await prepare_send(current, *plan);
+    if (obstacle)
+    {
+        current.send_ = silent;
+        co_return std::nullopt;
+    }
+    log_server_silent(current, silent.server_);
+    current.silent_sends_.push_back(silent.resources_);
+    // The silent server may have run the request, too.
+    ++current.possible_runs_;
+    const auto result = co_await execute_plan(current, *plan, hold);
+    if (current.silent_sends_.empty() || result == send_result::broken_off || result == send_result::out_of_time)
+    {
+        current.silent_sends_.clear();
+        co_return result;
+    }
+    --current.possible_runs_;
+    current.silent_sends_.pop_back();
+    current.send_ = silent;
+    current.watch_->backend_connection_ = silent.resources_->reader_->connection_;
+    co_return std::nullopt;
+}
+
 }  // namespace
 
 const char* name_of(send_result result)
@@ -195,6 +279,53 @@
     return names.at(static_cast<std::size_t>(result));
 }
 
+time_point switch_time(const exchange& current, milliseconds max_silence)
+{
+    return is_retry_safe(current) ? std::chrono::steady_clock::now() + max_silence : time_point::max();
+}
+
+task<std::optional<send_result>> read_or_switch(exchange& current, std::shared_ptr<answer_reader> reader,
+                                                task<bool> (*read)(std::shared_ptr<answer_reader>, time_point),
+                                                time_point& silent_at)
+{
+    bool completed = co_await read(reader, next_look(current, silent_at));
+    while (!completed)
+    {
+        if (has_silent_server_resumed(current))
+        {
+            current.send_.resources_->superseded_ = true;
+            co_return record_incomplete_send(current);
+        }
+        if (std::chrono::steady_clock::now() >= silent_at)
+        {
+            const auto taken_over = co_await try_other_server(current);
+            if (taken_over)
+            {
+                co_return taken_over;
+            }
+            silent_at = std::chrono::steady_clock::now() + switch_retry_delay;
+        }
+        completed = co_await read(reader, next_look(current, silent_at));
+    }
+    co_return std::nullopt;
+}
+
+void release_silent_sends(exchange& current)
+{
+    std::ranges::for_each(current.silent_sends_, [&current](const std::shared_ptr<send_resources>& send) {
+        send->superseded_ = true;
+        send->registration_.reset();
+        send->reservations_->release();
+        close_socket(*send->reader_->connection_);
+        if (auto* const server = find_server(current.state_.directory_, send->server_))
+        {
+            record_failure(*server, std::chrono::steady_clock::now());
+        }
+        current.state_.metrics_.count("gateway_sends_total", {{"end", "superseded"}});
+    });
+    current.silent_sends_.clear();
+}
+
 task<send_result> try_servers(exchange& current)
 {
     auto result = send_result::did_not_run;
@@ -204,7 +335,6 @@
     while (true)
     {
         const auto plan = co_await wait_for_plan(current, hold);
-        const auto now = std::chrono::steady_clock::now();
         if (remaining_time(current).count() <= 0)
         {
             co_return send_result::out_of_time;
@@ -213,23 +343,13 @@
         {
             co_return result;
         }
-        current.execution_id_ = plan->parts_.front().work_.key_;
-        memory_reservations reservations;
-        const bool reserved = co_await reserve_memory(current, *plan, reservations);
-        if (!reserved)
+        const auto obstacle = co_await prepare_send(current, *plan);
+        if (obstacle == send_obstacle::memory && ++refused_plans < max_refused_plans)
         {
-            current.state_.metrics_.count("gateway_sends_refused_total", {{"reason", "memory"}});
-            if (++refused_plans >= max_refused_plans)
-            {
-                co_return result;
-            }
             continue;
         }
-        const bool retry_reserved = std::exchange(current.retry_reserved_, false);
-        if (current.connected_sends_ > 0 && !retry_reserved &&
-            !take_retry(current.state_.retry_budget_, current.service_->id_, now))
+        if (obstacle)
         {
-            current.state_.metrics_.count("gateway_retries_refused_total", {{"reason", "budget"}});
             co_return result;
         }
         result = co_await execute_plan(current, *plan, hold);
--- a/tests/gateway/silent_streams_test.cpp
+++ b/tests/gateway/silent_streams_test.cpp
@@ -72,6 +72,41 @@
     CHECK(is_whole_stream(gateway.send_raw_request(request_text("POST", {}, "prompt")), 5));
 }
 
+TEST_CASE("a begun stream is closed because its server was silent for a while and the next one is silent for good")
+{
+    gateway_fixture gateway;
+    gateway.activate_route(resumable_route());
+    int arrivals = 0;
+    const auto script = [&arrivals](const auto&) {
+        return ++arrivals == 1 ? silent_for_a_while() : scripted_response{"", true};
+    };
+    gateway.add_server(script);
+    gateway.add_server(script);
+    CHECK(is_whole_stream(gateway.send_raw_request(request_text("POST", {}, "prompt")), 5));
+    CHECK(arrivals == 2);
+}
+
+TEST_CASE("a stream that another server has gone on with gets nothing more from the silent one")
+{
+    gateway_fixture gateway;
+    gateway.activate_route(resumable_route());
+    int arrivals = 0;
+    const auto script = [&arrivals](const auto&) {
+        if (++arrivals == 1)
+        {
+            return silent_for_a_while();
+        }
+        scripted_response slow{stream_events(4, 4)};
+        slow.later_ = stream_events(5, 5, false) + last_chunk;
+        slow.silence_ = milliseconds{1000};
+        return slow;
+    };
+    gateway.add_server(script);
+    gateway.add_server(script);
+    CHECK(is_whole_stream(gateway.send_raw_request(request_text("POST", {}, "prompt")), 5));
+    CHECK(gateway.state_.local_work_.empty());
+}
+
 TEST_CASE("a begun stream whose server ends is closed because all others pause for a moment")
 {
     gateway_fixture gateway;
