Let a begun stream wait for the pause of a server instead of ending it

Cause: decide_admission() refuses a request without a candidate. A server that pauses is no candidate, and what is right for a new request, which can come back, ends a stream that cannot. The limits of servers were already waited for, pauses were not.

Change: a request that a server has had waits when a server that it has not tried accepts work again before its time limit. time_until_pause_ends() leaves out tried servers.

--- a/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -109,10 +109,12 @@
 [[nodiscard]] bool accepts_work(const server_directory& directory, const server_id& id, std::uint64_t started_at_ms,
                                 time_point now);
 
-/// @brief Time until the first server of @a service that asked for a pause accepts work again.
-/// @return nothing when no server of the service has asked for one
+/// @brief Time until the first server of @a service that asked for a pause and is not among @a tried accepts work
+/// again.
+/// @return nothing when no such server has asked for one
 [[nodiscard]] std::optional<milliseconds> time_until_pause_ends(const server_directory& directory,
-                                                                const service_id& service, time_point now);
+                                                                const service_id& service,
+                                                                const std::vector<server_id>& tried, time_point now);
 
 /// @brief True when @a server names a limit for the requests of all VMs together.
 [[nodiscard]] bool has_limit(const server_directory& directory, const known_server& server);
--- a/packages/decisions/src/process/server_directory.cpp
+++ b/packages/decisions/src/process/server_directory.cpp
@@ -186,12 +186,14 @@
 }
 
 std::optional<milliseconds> time_until_pause_ends(const server_directory& directory, const service_id& service,
-                                                  time_point now)
+                                                  const std::vector<server_id>& tried, time_point now)
 {
     std::optional<milliseconds> shortest;
     std::ranges::for_each(directory.servers_ | std::views::values, [&](const known_server& server) {
         const auto* const notice = find_notice(directory, server.listed_);
-        if (server.listed_.service_ != service || notice == nullptr || notice->leaving_ || notice->paused_until_ <= now)
+        const bool was_tried = std::ranges::find(tried, server.listed_.id_) != tried.end();
+        if (was_tried || server.listed_.service_ != service || server.listed_.state_ != server_state::ready ||
+            notice == nullptr || notice->leaving_ || notice->paused_until_ <= now)
         {
             return;
         }
--- a/packages/gateway/src/request/plan_request.cpp
+++ b/packages/gateway/src/request/plan_request.cpp
@@ -168,6 +168,13 @@
     return wait && *wait < longest;
 }
 
+/// True when a request that a server has had can be continued after a server's pause.
+bool can_wait_for_pause(const exchange& current, const admission_facts& facts, time_point now)
+{
+    const auto pause = time_until_pause_ends(current.state_.directory_, current.service_->id_, current.tried_, now);
+    return facts.reached_server_ && pause && *pause < facts.time_left_;
+}
+
 /// True when the answer to a request that is sent according to @a plan ends before the process does.
 bool is_answered_before_stop(const exchange& current, const engine_work& work, const std::optional<send_plan>& plan,
                              time_point now)
@@ -208,7 +215,8 @@
     facts.caller_left_ = current.watch_->disconnected_;
     facts.reached_server_ = current.connected_sends_ > 0;
     facts.queue_full_ = place.others_waiting() >= max_waiting;
-    facts.has_candidate_ = !candidates.empty() || can_wait_for_limit(current, facts, now);
+    facts.has_candidate_ =
+        !candidates.empty() || can_wait_for_limit(current, facts, now) || can_wait_for_pause(current, facts, now);
     facts.has_place_ = step.plan_.has_value();
     facts.more_urgent_waits_ = place.is_behind(step.order_, now);
     facts.starts_in_ = step.plan_ ? step.plan_->starts_in_ : milliseconds{0};
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -51,7 +51,7 @@
     if (!has_untried_server(current))
     {
         const auto now = std::chrono::steady_clock::now();
-        const auto pause = time_until_pause_ends(state.directory_, current.service_->id_, now);
+        const auto pause = time_until_pause_ends(state.directory_, current.service_->id_, {}, now);
         const auto limited = time_until_within_limit(state.directory_, current.service_->id_, current.tried_, now);
         facts.pause_ = pause && limited ? std::min(pause, limited) : (pause ? pause : limited);
     }
--- a/tests/gateway/server_notices_test.cpp
+++ b/tests/gateway/server_notices_test.cpp
@@ -106,7 +106,7 @@
     CHECK(contains(second, " 503 "));
     CHECK(server->received_requests_.size() == 1);
     // Refused at once, with the time at which the server takes work again.
-    const auto left = time_until_pause_ends(gateway.state_.directory_, service_id{"s"}, paused_at);
+    const auto left = time_until_pause_ends(gateway.state_.directory_, service_id{"s"}, {}, paused_at);
     REQUIRE(left);
     CHECK(*left <= milliseconds{700});
     const auto field = second.find("Retry-After: ");
