--- a/tests/gateway/planned_stop_test.cpp
+++ b/tests/gateway/planned_stop_test.cpp
@@ -4,8 +4,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "free_port.hpp"
-#include "gateway/gateway_fixture.hpp"
+#include "gateway/stop_fixture.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -52,74 +51,6 @@
     ++(whole ? seen.answered_ : seen.cut_off_);
 }
 
-std::shared_ptr<const routing_table> one_route(request_kind kind = request_kind::idempotent,
-                                               milliseconds timeout = milliseconds{3000})
-{
-    route matched;
-    matched.kind_ = kind;
-    matched.host_ = "h";
-    matched.path_prefix_ = "/r/";
-    matched.timeout_ = timeout;
-    matched.services_ = {{service_id{"s"}, 1.0}};
-    auto table = std::make_shared<routing_table>();
-    table->version_ = configuration_version{1};
-    add_route(*table, matched);
-    table->services_[service_id{"s"}] = service_description{service_id{"s"}, "/health", 100, std::nullopt};
-    return table;
-}
-
-/// Starts a server in the gateway's own thread and lists it.
-void add_server(gateway_state& state, std::vector<std::shared_ptr<fake_server>>& servers,
-                const scripted_response& response = plain_response("200 OK", "whole answer"))
-{
-    auto server = std::make_shared<fake_server>(state.executor_, [response](const auto&) { return response; });
-    spawn(state.executor_, "accept_connections", accept_connections(server));
-    listed_server entry;
-    entry.id_ = server_id{"server-0"};
-    entry.service_ = service_id{"s"};
-    entry.address_ = socket_address{server->address()};
-    entry.slots_ = 1000;
-    upsert_listed_server(state.directory_, entry, log_offset{1}, std::chrono::steady_clock::now());
-    state.server_list_.listed_ = true;
-    servers.push_back(server);
-}
-
-gateway_settings loopback_settings()
-{
-    gateway_settings settings;
-    settings.name_ = "vm-1";
-    settings.ip_ = "127.0.0.1";
-    settings.listen_ = free_address();
-    settings.readiness_listen_ = free_address();
-    settings.load_port_ = parse_endpoint(free_address().get())->port();
-    settings.metrics_port_ = parse_endpoint(free_address().get())->port();
-    return settings;
-}
-
-/// Sends one request and returns all that comes back until the connection ends.
-std::string receive_answer(const tcp::endpoint& gateway, const std::string& fields)
-{
-    boost::asio::io_context io;
-    tcp::socket socket(io);
-    boost::system::error_code failed;
-    socket.connect(gateway, failed);
-    boost::asio::write(socket, boost::asio::buffer(request_text("POST", fields)), failed);
-    std::string answer;
-    std::array<char, 4096> bytes{};
-    while (!failed)
-    {
-        const auto size = socket.read_some(boost::asio::buffer(bytes), failed);
-        answer.append(bytes.data(), size);
-    }
-    return answer;
-}
-
-bool is_whole(const std::string& answer)
-{
-    return answer.starts_with("HTTP/1.1 ") && answer.find("Content-Length") != std::string::npos &&
-           answer.ends_with('}');
-}
-
 }  // namespace
 
 TEST_CASE("a planned stop at 100 requests a second answers each request whose connection was accepted")
