Reproduce requests that a stop closes unread while the loop is late

Confirmed for the stop: idle connections are closed without a look at the bytes in the kernel. Refuted for the idle deadline: readiness is handled before the timers of the same poll, and callers reuse connections for four fifths of the limit only.

--- /dev/null
+++ b/tests/gateway/late_stop_test.cpp
@@ -0,0 +1,87 @@
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <future>
+#include <ranges>
+
+#include <catch2/catch.hpp>
+
+#include "gateway/stop_fixture.hpp"
+
+using namespace cornelstall;
+using namespace cornelstall::tests;
+
+namespace
+{
+
+/// A request on a connection that the caller keeps open.
+const std::string kept_request{"GET /r/x HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\n\r\n"};
+/// A request that is passed on late in a stop, because it ends before the process does.
+const std::string short_request{"GET /r/x HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nX-Left: 400\r\n\r\n"};
+const std::string whole_answer{"whole answer"};
+
+gateway_settings settings_with_limit(milliseconds stop_limit)
+{
+    auto settings = loopback_settings();
+    settings.stop_limit_ = stop_limit;
+    return settings;
+}
+
+}  // namespace
+
+TEST_CASE("a stop closes a connection whose request arrived while the loop was blocked")
+{
+    // Idle connections are closed from 3.1 s after the signal without a look at what the kernel holds for them.
+    running_gateway gateway(settings_with_limit(milliseconds{5000}), request_kind::idempotent,
+                            plain_response("200 OK", whole_answer));
+    blocking_caller caller(gateway.address());
+    gateway.stop();
+    gateway.sleep_until(milliseconds{2900});
+    gateway.block_loop(milliseconds{150});
+    gateway.sleep_until(milliseconds{2950});
+    // Runs after the poll that finds the stop's timer expired, and before that timer's handler.
+    gateway.block_loop(milliseconds{400});
+    gateway.sleep_until(milliseconds{3150});
+    caller.send(short_request);
+    CHECK_THAT(caller.receive(), Catch::EndsWith(whole_answer));
+}
+
+TEST_CASE("a stop closes connections whose requests arrived together while the loop was blocked")
+{
+    // One poll of the kernel reports 128 events; the connections beyond them count as idle.
+    running_gateway gateway(settings_with_limit(milliseconds{5000}), request_kind::idempotent,
+                            plain_response("200 OK", whole_answer));
+    std::vector<std::unique_ptr<blocking_caller>> callers(160);
+    std::ranges::generate(callers, [&gateway] { return std::make_unique<blocking_caller>(gateway.address()); });
+    gateway.stop();
+    gateway.sleep_until(milliseconds{2950});
+    gateway.block_loop(milliseconds{400});
+    gateway.sleep_until(milliseconds{3100});
+    std::ranges::for_each(callers, [](const auto& caller) { caller->send(short_request); });
+    const auto answered =
+        std::ranges::count_if(callers, [](const auto& caller) { return caller->receive().ends_with(whole_answer); });
+    CHECK(answered == 160);
+}
+
+TEST_CASE("the idle deadline does not close a connection whose request arrived while the loop was blocked")
+{
+    // Callers reuse a connection for up to four fifths of the idle limit; the loop may be late beyond its end.
+    constexpr milliseconds idle_limit{1000};
+    gateway_fixture fixture;
+    route matched;
+    matched.kind_ = request_kind::idempotent;
+    fixture.activate_route(matched);
+    auto table = std::make_shared<routing_table>(*fixture.state_.table_);
+    table->version_ = configuration_version{2};
+    table->limits_.idle_timeout_ = idle_limit;
+    activate_table(fixture.state_, table);
+    fixture.add_server([](const auto&) { return plain_response("200 OK", whole_answer); });
+    blocking_caller caller(fixture.acceptor_.local_endpoint());
+    REQUIRE(fixture.run_until([&fixture] { return fixture.state_.idle_callers_.size() == 1; }));
+    std::this_thread::sleep_for(idle_limit * 4 / 5);
+    caller.send(request_text("GET"));
+    std::this_thread::sleep_for(milliseconds{500});
+    auto answer = std::async(std::launch::async, [&caller] { return caller.receive(); });
+    fixture.run_until([&answer] { return answer.wait_for(milliseconds{0}) == std::future_status::ready; });
+    CHECK_THAT(answer.get(), Catch::EndsWith(whole_answer));
+}
