--- a/tests/gateway/late_stop_test.cpp
+++ b/tests/gateway/late_stop_test.cpp
@@ -85,3 +85,17 @@
     fixture.run_until([&answer] { return answer.wait_for(milliseconds{0}) == std::future_status::ready; });
     CHECK_THAT(answer.get(), Catch::EndsWith(whole_answer));
 }
+
+TEST_CASE("a stop loses the request of the only caller that waits in the accept queue")
+{
+    // The task of a connection that was just accepted has not run when the stop looks for open callers.
+    running_gateway gateway(settings_with_limit(milliseconds{5000}), request_kind::idempotent,
+                            plain_response("200 OK", whole_answer));
+    gateway.stop();
+    gateway.sleep_until(milliseconds{2450});
+    gateway.block_loop(milliseconds{400});
+    gateway.sleep_until(milliseconds{2550});
+    blocking_caller caller(gateway.address());
+    caller.send(short_request);
+    CHECK_THAT(caller.receive(), Catch::EndsWith(whole_answer));
+}
