--- a/tests/gateway/late_stop_test.cpp
+++ b/tests/gateway/late_stop_test.cpp
@@ -99,3 +99,46 @@
     caller.send(short_request);
     CHECK_THAT(caller.receive(), Catch::EndsWith(whole_answer));
 }
+
+TEST_CASE("a stop whose signal is handled late gives the final answers within its limit")
+{
+    // The limit counts from the signal; what is open when it has passed is killed without an answer.
+    running_gateway gateway(settings_with_limit(milliseconds{3600}), request_kind::non_idempotent, {"", true});
+    blocking_caller caller(gateway.address());
+    caller.send(kept_request);
+    std::this_thread::sleep_for(milliseconds{100});
+    gateway.block_loop(milliseconds{600});
+    std::this_thread::sleep_for(milliseconds{20});
+    gateway.stop();
+    CHECK_THAT(caller.receive(), Catch::StartsWith("HTTP/1.1 504"));
+    CHECK(std::chrono::steady_clock::now() - gateway.stopped_at_ < milliseconds{3600});
+}
+
+TEST_CASE("a stop lasts longer than its limit because the signal was handled late")
+{
+    // The platform kills the process when the limit has passed, before it has ended its connections in order.
+    running_gateway gateway(settings_with_limit(milliseconds{3600}), request_kind::streaming,
+                            {stream_events(1, 2), true});
+    blocking_caller caller(gateway.address());
+    caller.send(kept_request);
+    std::this_thread::sleep_for(milliseconds{100});
+    gateway.block_loop(milliseconds{600});
+    std::this_thread::sleep_for(milliseconds{20});
+    gateway.stop();
+    gateway.wait_for_end();
+    CHECK(gateway.ended_at_ - gateway.stopped_at_ < milliseconds{3600});
+}
+
+TEST_CASE("a stop cuts requests without an answer because the loop was late near its end")
+{
+    // The step that gives the final answers is left out when its whole time has passed.
+    running_gateway gateway(settings_with_limit(milliseconds{4000}), request_kind::non_idempotent, {"", true});
+    blocking_caller caller(gateway.address());
+    caller.send(kept_request);
+    std::this_thread::sleep_for(milliseconds{100});
+    gateway.stop();
+    gateway.sleep_until(milliseconds{3030});
+    gateway.block_loop(milliseconds{600});
+    CHECK_THAT(caller.receive(), Catch::StartsWith("HTTP/1.1 504"));
+    CHECK(std::chrono::steady_clock::now() - gateway.stopped_at_ < milliseconds{4000});
+}
