--- a/tests/gateway/late_stop_test.cpp
+++ b/tests/gateway/late_stop_test.cpp
@@ -142,3 +142,26 @@
     CHECK_THAT(caller.receive(), Catch::StartsWith("HTTP/1.1 504"));
     CHECK(std::chrono::steady_clock::now() - gateway.stopped_at_ < milliseconds{4000});
 }
+
+TEST_CASE("a stop answers requests whose body in chunks arrives late")
+{
+    // A body may still arrive when the listening socket and idle connections are closed, and after the final answers.
+    running_gateway gateway(settings_with_limit(milliseconds{5000}), request_kind::idempotent,
+                            plain_response("200 OK", whole_answer));
+    const std::string begin{
+        "POST /r/x HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nX-Left: 1400\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"};
+    blocking_caller in_time(gateway.address());
+    blocking_caller too_late(gateway.address());
+    gateway.stop();
+    gateway.sleep_until(milliseconds{2500});
+    in_time.send(begin);
+    too_late.send(begin);
+    gateway.sleep_until(milliseconds{3400});
+    in_time.send("2\r\nde\r\n" + last_chunk);
+    CHECK_THAT(in_time.receive(), Catch::EndsWith(whole_answer));
+    gateway.sleep_until(milliseconds{4300});
+    too_late.send(last_chunk);
+    const auto refused = too_late.receive();
+    CHECK_THAT(refused, Catch::StartsWith("HTTP/1.1 503"));
+    CHECK(is_whole(refused));
+}
