--- a/tests/gateway/late_stop_test.cpp
+++ b/tests/gateway/late_stop_test.cpp
@@ -165,3 +165,20 @@
     CHECK_THAT(refused, Catch::StartsWith("HTTP/1.1 503"));
     CHECK(is_whole(refused));
 }
+
+TEST_CASE("the end of a stop does not reset a connection that holds bytes nobody has read")
+{
+    // A reset discards what the caller has not received yet of the final answer.
+    running_gateway gateway(settings_with_limit(milliseconds{3200}), request_kind::non_idempotent, {"", true});
+    blocking_caller caller(gateway.address());
+    caller.send(kept_request + kept_request);
+    std::this_thread::sleep_for(milliseconds{100});
+    gateway.stop();
+    gateway.sleep_until(milliseconds{2250});
+    caller.send(kept_request);
+    gateway.wait_for_end();
+    const auto answer = caller.receive();
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 504"));
+    CHECK(is_whole(answer));
+    CHECK(caller.failed_ == boost::asio::error::eof);
+}
