--- a/tests/gateway/late_stop_test.cpp
+++ b/tests/gateway/late_stop_test.cpp
@@ -182,3 +182,44 @@
     CHECK(is_whole(answer));
     CHECK(caller.failed_ == boost::asio::error::eof);
 }
+
+TEST_CASE("a stop signal at the start of the process kills it")
+{
+    // Callers' connections are accepted by the kernel before the signal handler is there.
+    const auto settings = settings_with_limit(milliseconds{3200});
+    const auto child = fork();
+    REQUIRE(child >= 0);
+    if (child == 0)
+    {
+        std::signal(SIGTERM, SIG_DFL);  // the test framework has a handler
+        gateway_callbacks callbacks;
+        callbacks.on_start_ = [](gateway_state&) {
+            std::raise(SIGTERM);
+        };
+        callbacks.on_reload_ = [](gateway_state&) {
+        };
+        std::_Exit(run_gateway(settings, test_protocol(), callbacks));
+    }
+    int status = 0;
+    REQUIRE(waitpid(child, &status, 0) == child);
+    CHECK(status == 0);
+}
+
+TEST_CASE("a second stop signal and a reload beside it do not shorten the stop")
+{
+    // A signal without a handler ends the process at once, with all open requests.
+    running_gateway gateway(settings_with_limit(milliseconds{3600}), request_kind::non_idempotent, {"", true});
+    blocking_caller caller(gateway.address());
+    caller.send(kept_request);
+    std::this_thread::sleep_for(milliseconds{100});
+    std::raise(SIGHUP);
+    gateway.stop();
+    std::raise(SIGHUP);
+    gateway.sleep_until(milliseconds{300});
+    std::raise(SIGTERM);
+    CHECK_THAT(caller.receive(), Catch::StartsWith("HTTP/1.1 504"));
+    gateway.wait_for_end();
+    CHECK(gateway.reloads_ >= 1);
+    CHECK(gateway.exit_code_ == 0);
+    CHECK(gateway.ended_at_ - gateway.stopped_at_ > milliseconds{2600});
+}
