Reproduce the missing answer to a caller that has shut down its sending side

The end of the caller's data is taken for the end of its connection. Whether consumers do this is open; this commit can be left out if they do not.

--- a/tests/gateway/late_stop_test.cpp
+++ b/tests/gateway/late_stop_test.cpp
@@ -223,3 +223,24 @@
     CHECK(gateway.exit_code_ == 0);
     CHECK(gateway.ended_at_ - gateway.stopped_at_ > milliseconds{2600});
 }
+
+TEST_CASE("a caller that shuts down its sending side after the request gets no answer")
+{
+    // Reading the end of the caller's data is taken for the end of its connection.
+    gateway_fixture fixture;
+    route matched;
+    matched.kind_ = request_kind::idempotent;
+    fixture.activate_route(matched);
+    fixture.add_server([](const auto&) {
+        scripted_response response;
+        response.later_ = plain_response("200 OK", whole_answer).bytes_;
+        response.silence_ = milliseconds{200};
+        return response;
+    });
+    blocking_caller caller(fixture.acceptor_.local_endpoint());
+    caller.send(request_text("GET"));
+    caller.socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    auto answer = std::async(std::launch::async, [&caller] { return caller.receive(); });
+    fixture.run_until([&answer] { return answer.wait_for(milliseconds{0}) == std::future_status::ready; });
+    CHECK_THAT(answer.get(), Catch::EndsWith(whole_answer));
+}
