Time the blocks of the late-stop tests in the gateway's own thread

Blocks that the test's thread started came late on a loaded machine (load 20): of 22 runs of the case with 160 callers, one passed and one had its block after the end of the process. The requests are now sent by the blocking work itself.

--- a/tests/gateway/late_stop_test.cpp
+++ b/tests/gateway/late_stop_test.cpp
@@ -2,6 +2,7 @@
 #include <unistd.h>
 
 #include <future>
+#include <optional>
 #include <ranges>
 
 #include <catch2/catch.hpp>
@@ -36,13 +37,16 @@
                             plain_response("200 OK", whole_answer));
     blocking_caller caller(gateway.address());
     gateway.stop();
-    gateway.sleep_until(milliseconds{2900});
-    gateway.block_loop(milliseconds{150});
-    gateway.sleep_until(milliseconds{2950});
-    // Runs after the poll that finds the stop's timer expired, and before that timer's handler.
-    gateway.block_loop(milliseconds{400});
-    gateway.sleep_until(milliseconds{3150});
-    caller.send(short_request);
+    gateway.run_at(milliseconds{2900}, [&] {
+        // Runs after the poll that finds the stop's timer expired, and before that timer's handler.
+        gateway.run_next([&] {
+            std::this_thread::sleep_for(milliseconds{100});
+            caller.send(short_request);
+            std::this_thread::sleep_for(milliseconds{300});
+        });
+        std::this_thread::sleep_for(milliseconds{150});
+    });
+    gateway.wait_for_end();
     CHECK_THAT(caller.receive(), Catch::EndsWith(whole_answer));
 }
 
@@ -54,10 +58,12 @@
     std::vector<std::unique_ptr<blocking_caller>> callers(160);
     std::ranges::generate(callers, [&gateway] { return std::make_unique<blocking_caller>(gateway.address()); });
     gateway.stop();
-    gateway.sleep_until(milliseconds{2950});
-    gateway.block_loop(milliseconds{400});
-    gateway.sleep_until(milliseconds{3100});
-    std::ranges::for_each(callers, [](const auto& caller) { caller->send(short_request); });
+    gateway.run_at(milliseconds{2950}, [&callers] {
+        std::this_thread::sleep_for(milliseconds{150});
+        std::ranges::for_each(callers, [](const auto& caller) { caller->send(short_request); });
+        std::this_thread::sleep_for(milliseconds{250});
+    });
+    gateway.wait_for_end();
     const auto answered =
         std::ranges::count_if(callers, [](const auto& caller) { return caller->receive().ends_with(whole_answer); });
     CHECK(answered == 160);
@@ -92,12 +98,16 @@
     running_gateway gateway(settings_with_limit(milliseconds{5000}), request_kind::idempotent,
                             plain_response("200 OK", whole_answer));
     gateway.stop();
-    gateway.sleep_until(milliseconds{2450});
-    gateway.block_loop(milliseconds{400});
-    gateway.sleep_until(milliseconds{2550});
-    blocking_caller caller(gateway.address());
-    caller.send(short_request);
-    CHECK_THAT(caller.receive(), Catch::EndsWith(whole_answer));
+    std::optional<blocking_caller> caller;
+    gateway.run_at(milliseconds{2450}, [&] {
+        std::this_thread::sleep_for(milliseconds{100});
+        caller.emplace(gateway.address());
+        caller->send(short_request);
+        std::this_thread::sleep_for(milliseconds{300});
+    });
+    gateway.wait_for_end();
+    REQUIRE(caller);
+    CHECK_THAT(caller->receive(), Catch::EndsWith(whole_answer));
 }
 
 TEST_CASE("a stop whose signal is handled late gives the final answers within its limit")
@@ -107,11 +117,12 @@
     blocking_caller caller(gateway.address());
     caller.send(kept_request);
     std::this_thread::sleep_for(milliseconds{100});
-    gateway.block_loop(milliseconds{600});
-    std::this_thread::sleep_for(milliseconds{20});
-    gateway.stop();
+    gateway.run_next([&gateway] {
+        gateway.stop();
+        std::this_thread::sleep_for(milliseconds{600});
+    });
     CHECK_THAT(caller.receive(), Catch::StartsWith("HTTP/1.1 504"));
-    CHECK(std::chrono::steady_clock::now() - gateway.stopped_at_ < milliseconds{3600});
+    CHECK(std::chrono::steady_clock::now() - gateway.stopped_at_.load() < milliseconds{3600});
 }
 
 TEST_CASE("a stop lasts longer than its limit because the signal was handled late")
@@ -122,11 +133,12 @@
     blocking_caller caller(gateway.address());
     caller.send(kept_request);
     std::this_thread::sleep_for(milliseconds{100});
-    gateway.block_loop(milliseconds{600});
-    std::this_thread::sleep_for(milliseconds{20});
-    gateway.stop();
+    gateway.run_next([&gateway] {
+        gateway.stop();
+        std::this_thread::sleep_for(milliseconds{600});
+    });
     gateway.wait_for_end();
-    CHECK(gateway.ended_at_ - gateway.stopped_at_ < milliseconds{3600});
+    CHECK(gateway.ended_at_ - gateway.stopped_at_.load() < milliseconds{3600});
 }
 
 TEST_CASE("a stop cuts requests without an answer because the loop was late near its end")
@@ -137,10 +149,9 @@
     caller.send(kept_request);
     std::this_thread::sleep_for(milliseconds{100});
     gateway.stop();
-    gateway.sleep_until(milliseconds{3030});
-    gateway.block_loop(milliseconds{600});
+    gateway.run_at(milliseconds{3030}, [] { std::this_thread::sleep_for(milliseconds{600}); });
     CHECK_THAT(caller.receive(), Catch::StartsWith("HTTP/1.1 504"));
-    CHECK(std::chrono::steady_clock::now() - gateway.stopped_at_ < milliseconds{4000});
+    CHECK(std::chrono::steady_clock::now() - gateway.stopped_at_.load() < milliseconds{4000});
 }
 
 TEST_CASE("a stop answers requests whose body in chunks arrives late")
@@ -153,14 +164,14 @@
     blocking_caller in_time(gateway.address());
     blocking_caller too_late(gateway.address());
     gateway.stop();
-    gateway.sleep_until(milliseconds{2500});
-    in_time.send(begin);
-    too_late.send(begin);
-    gateway.sleep_until(milliseconds{3400});
-    in_time.send("2\r\nde\r\n" + last_chunk);
+    gateway.run_at(milliseconds{2500}, [&] {
+        in_time.send(begin);
+        too_late.send(begin);
+    });
+    gateway.run_at(milliseconds{3400}, [&] { in_time.send("2\r\nde\r\n" + last_chunk); });
+    gateway.run_at(milliseconds{4300}, [&] { too_late.send(last_chunk); });
+    gateway.wait_for_end();
     CHECK_THAT(in_time.receive(), Catch::EndsWith(whole_answer));
-    gateway.sleep_until(milliseconds{4300});
-    too_late.send(last_chunk);
     const auto refused = too_late.receive();
     CHECK_THAT(refused, Catch::StartsWith("HTTP/1.1 503"));
     CHECK(is_whole(refused));
@@ -174,8 +185,7 @@
     caller.send(kept_request + kept_request);
     std::this_thread::sleep_for(milliseconds{100});
     gateway.stop();
-    gateway.sleep_until(milliseconds{2250});
-    caller.send(kept_request);
+    gateway.run_at(milliseconds{2250}, [&caller] { caller.send(kept_request); });
     gateway.wait_for_end();
     const auto answer = caller.receive();
     CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 504"));
@@ -221,7 +231,7 @@
     gateway.wait_for_end();
     CHECK(gateway.reloads_ >= 1);
     CHECK(gateway.exit_code_ == 0);
-    CHECK(gateway.ended_at_ - gateway.stopped_at_ > milliseconds{2600});
+    CHECK(gateway.ended_at_ - gateway.stopped_at_.load() > milliseconds{2600});
 }
 
 TEST_CASE("a caller that shuts down its sending side after the request gets no answer")
--- a/tests/gateway/stop_fixture.hpp
+++ b/tests/gateway/stop_fixture.hpp
@@ -134,13 +134,26 @@
     /// @brief Waits until @a after has passed since the stop signal.
     void sleep_until(milliseconds after) const
     {
-        std::this_thread::sleep_until(stopped_at_ + after);
+        std::this_thread::sleep_until(stopped_at_.load() + after);
     }
 
-    /// @brief Blocks the gateway's thread for @a duration, as a process that gets no processor time.
-    void block_loop(milliseconds duration)
+    /// @brief Runs @a work in the gateway's thread as soon as possible. Work that sleeps blocks the loop.
+    void run_next(std::function<void()> work)
     {
-        boost::asio::post(state_.load()->executor_, [duration] { std::this_thread::sleep_for(duration); });
+        boost::asio::post(state_.load()->executor_, std::move(work));
+    }
+
+    /// @brief Runs @a work in the gateway's thread when @a after has passed since the stop signal.
+    void run_at(milliseconds after, std::function<void()> work)
+    {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(state_.load()->executor_);
+        timer->expires_at(stopped_at_.load() + after);
+        timer->async_wait([timer, work = std::move(work)](const boost::system::error_code& cancelled) {
+            if (!cancelled)
+            {
+                work();
+            }
+        });
     }
 
     /// @brief Waits until the process has ended.
@@ -155,7 +168,7 @@
     gateway_settings settings_;
     std::atomic<int> exit_code_{-1};
     std::atomic<int> reloads_{0};
-    time_point stopped_at_;
+    std::atomic<time_point> stopped_at_{time_point{}};
     time_point ended_at_;
 
   private:
