Count a caller's connection as open from its acceptance on

Cause: the count was taken in the task of the connection, which had not run when the stop looked for open callers; the process ended. Class: a look at state that work under way has not reached yet.

Change: the count is taken at the acceptance and handed to the task.

--- a/packages/gateway/src/connection/caller_session.cpp
+++ b/packages/gateway/src/connection/caller_session.cpp
@@ -140,9 +140,9 @@
     co_return parser;
 }
 
-task<> serve_caller(gateway_state& state, std::shared_ptr<caller_socket> caller)
+task<> serve_caller(gateway_state& state, std::shared_ptr<caller_socket> caller,
+                    std::unique_ptr<scoped_count> /*open_caller*/)
 {
-    const scoped_count open_caller(state.open_callers_);
     set_tcp_options(caller->socket_);
     caller->buffer_.max_size(limits_of(state).header_bytes_.get() + max_pipelined_bytes);
     bool keep_open = true;
@@ -164,6 +164,15 @@
     co_await lingering_close(caller);
 }
 
+/// Starts the task of an accepted connection, which counts as open from now on: a stop must not overlook a task that
+/// has not run yet.
+void start_caller(gateway_state& state, tcp::socket socket)
+{
+    spawn(state.executor_, "serve_caller",
+          serve_caller(state, std::make_shared<caller_socket>(std::move(socket)),
+                       std::make_unique<scoped_count>(state.open_callers_)));
+}
+
 }  // namespace
 
 task<> accept_callers(gateway_state& state, tcp::acceptor& acceptor)
@@ -182,7 +191,7 @@
             co_await sleep_for(accept_retry_delay);
             continue;
         }
-        spawn(state.executor_, "serve_caller", serve_caller(state, std::make_shared<caller_socket>(std::move(socket))));
+        start_caller(state, std::move(socket));
     }
 }
 
@@ -196,8 +205,7 @@
         acceptor.accept(socket, failed);
         if (!failed)
         {
-            spawn(state.executor_, "serve_caller",
-                  serve_caller(state, std::make_shared<caller_socket>(std::move(socket))));
+            start_caller(state, std::move(socket));
         }
     }
 }
