Do not close connections in a stop that hold unread bytes of a request

Cause: a connection was taken for idle by the state of its task. A poll reports at most 128 events, and handlers that wait in the queue are older than what has arrived since.

The idle limit has the same form and was refuted by a test: a poll queues readiness before timers. Change: a connection that holds unread bytes stays open.

--- a/packages/gateway/src/connection/caller_session.cpp
+++ b/packages/gateway/src/connection/caller_session.cpp
@@ -173,6 +173,13 @@
                        std::make_unique<scoped_count>(state.open_callers_)));
 }
 
+/// True when bytes of a request have arrived that no task has read yet.
+bool has_unread_bytes(const caller_socket& caller)
+{
+    boost::system::error_code failed;
+    return caller.socket_.available(failed) > 0 && !failed;
+}
+
 }  // namespace
 
 task<> accept_callers(gateway_state& state, tcp::acceptor& acceptor)
@@ -213,7 +220,12 @@
 void close_idle_callers(gateway_state& state)
 {
     const auto idle = state.idle_callers_;
-    std::ranges::for_each(idle, [](const std::shared_ptr<caller_socket>& caller) { close_socket(*caller); });
+    std::ranges::for_each(idle, [](const std::shared_ptr<caller_socket>& caller) {
+        if (!has_unread_bytes(*caller))
+        {
+            close_socket(*caller);
+        }
+    });
 }
 
 }  // namespace cornelstall
