Handle signals before the first caller can connect

The signals are registered before the sockets are opened; while the settings are read, a signal still ends the process.

--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -208,9 +208,9 @@
                {"loop_late_ms", text_of(longest_lateness(state.loop_lateness_))}});
 }
 
-task<> run_until_stopped(gateway_state& state, listeners& acceptors, const gateway_callbacks& callbacks)
+task<> run_until_stopped(gateway_state& state, listeners& acceptors, const gateway_callbacks& callbacks,
+                         boost::asio::signal_set& signals)
 {
-    boost::asio::signal_set signals(state.executor_, SIGTERM, SIGINT, SIGHUP);
     while (true)
     {
         const int signal = co_await signals.async_wait(boost::asio::use_awaitable);
@@ -252,6 +252,8 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     gateway_context context(1);
+    // Before any caller can connect: until then a signal ends the process at once.
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     gateway_state state(settings, protocol, context.get_executor());
     listeners acceptors{listen_on(state.executor_, settings.listen_.get()),
                         listen_on(state.executor_, settings.readiness_listen_.get()),
@@ -277,7 +279,7 @@
     log_event(severity::info, gateway_started, "accepting callers",
               {{"vm", settings.name_}, {"listen", settings.listen_.get()}});
     std::exception_ptr failure;
-    boost::asio::co_spawn(context, run_until_stopped(state, acceptors, callbacks),
+    boost::asio::co_spawn(context, run_until_stopped(state, acceptors, callbacks, signals),
                           [&context, &failure](const std::exception_ptr& problem) {
                               failure = problem;
                               context.stop();
