Count a stop from its signal, and give the final answers on a late loop too

Cause: all times counted from the handling of the signal, and the step that gives the final answers was left out when one late turn of the loop covered its 500 ms. Class: a bound that is counted from the handling of an event instead of the event.

Change: the signal is taken to have come when a timer was last known to be on time (loop_lateness), and the final answers are always given, with 150 ms to be received.

--- a/packages/gateway/include/cornelstall/gateway/process/loop_lateness.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/loop_lateness.hpp
@@ -16,6 +16,7 @@
     milliseconds current_{0};   ///< largest value of the second that has begun
     milliseconds previous_{0};  ///< largest value of the second before
     time_point second_begun_;
+    time_point measured_at_ = std::chrono::steady_clock::now();  ///< when the last value was recorded
 };
 
 /// @brief Records that a timer fired at @a now and was due @a late before.
@@ -27,6 +28,9 @@
     return std::max(recorded.current_, recorded.previous_);
 }
 
+/// @brief The earliest time at which an event that is handled at @a now can have happened.
+[[nodiscard]] time_point earliest_cause(const loop_lateness& recorded, time_point now);
+
 /// @brief Measures the lateness of the loop until the process ends.
 [[nodiscard]] task<> measure_lateness(gateway_state& state);
 
--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -39,6 +39,8 @@
 constexpr milliseconds stop_check_interval{50};
 /// Before that reserve, callers whose requests are still unanswered get their final answer.
 constexpr milliseconds final_answers_time{500};
+/// Even a stop that is late gives the callers this much time to receive their final answers.
+constexpr milliseconds shortest_final_answers_time{150};
 /// After the listening socket is closed, the first request of a new connection is awaited for this long.
 constexpr milliseconds first_request_wait{500};
 /// Bounds the lines about requests that the end of the process cuts off.
@@ -131,11 +133,14 @@
 task<> finish_requests(gateway_state& state, time_point deadline)
 {
     const auto close_idle_at = clock::now() + first_request_wait;
-    while (state.open_callers_ + state.open_leases_ > 0 && clock::now() < deadline)
+    bool requests_ended = false;
+    while (state.open_callers_ + state.open_leases_ > 0 && (clock::now() < deadline || !requests_ended))
     {
         if (clock::now() >= state.end_requests_at_)
         {
             end_open_requests(state);
+            deadline = requests_ended ? deadline : std::max(deadline, clock::now() + shortest_final_answers_time);
+            requests_ended = true;
         }
         if (clock::now() >= close_idle_at)
         {
@@ -181,7 +186,8 @@
 
 task<> stop_gateway(gateway_state& state, listeners& acceptors)
 {
-    const auto started_at = clock::now();
+    // The stop limit counts from the signal, which a late loop handles late.
+    const auto started_at = earliest_cause(state.loop_lateness_, clock::now());
     const auto end_at = started_at + state.settings_.stop_limit_ - stop_reserve;
     state.stopping_ = true;
     state.end_requests_at_ = end_at - final_answers_time;
--- a/packages/gateway/src/process/loop_lateness.cpp
+++ b/packages/gateway/src/process/loop_lateness.cpp
@@ -21,6 +21,13 @@
         recorded.second_begun_ = now;
     }
     recorded.current_ = std::max(recorded.current_, late);
+    recorded.measured_at_ = now;
+}
+
+time_point earliest_cause(const loop_lateness& recorded, time_point now)
+{
+    // Since the last measurement no timer has fired, so the loop may have been late all the time.
+    return std::min(now - longest_lateness(recorded), recorded.measured_at_);
 }
 
 task<> measure_lateness(gateway_state& state)
