Skip interim answers instead of taking them for the answer

Callers received a 1xx answer of a server, closed without the real one, when it bore the server's seal; otherwise the request failed with 502 or was sent to a second server, although the first one answered it.

The first head that arrived was taken for the answer, whatever its status. Up to eight interim answers are now skipped within the time to the first byte; a server that sends more is treated like one with an unusable answer, so interim answers without end hold neither memory nor the request.

--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -43,6 +43,8 @@
 /// Longer ones are rejected.
 constexpr std::size_t max_plain_answer_bytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t read_buffer_bytes = 8192;
+/// Interim answers (1xx) that are skipped before the answer. Servers send one or two; one that sends more is faulty.
+constexpr int max_interim_answers = 8;
 
 /// The request to the server; must live until the write has completed.
 struct outgoing_request
@@ -124,6 +126,33 @@
     return result;
 }
 
+bool is_interim(unsigned status)
+{
+    constexpr unsigned first_final_status = 200;
+    constexpr unsigned switching_protocols = 101;
+    return status < first_final_status && status != switching_protocols;
+}
+
+/// Reads the head of the answer and skips up to `max_interim_answers` interim answers before it.
+/// @param parser holds the head that was read last, which is that of an interim answer when there were too many
+task<boost::system::error_code> read_head(exchange& current, std::shared_ptr<backend_socket> server,
+                                          std::optional<answer_parser>& parser)
+{
+    boost::system::error_code ec;
+    for (int skipped = 0; skipped <= max_interim_answers; ++skipped)
+    {
+        parser.emplace();
+        parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        parser->skip(current.request_.method() == http::verb::head);
+        co_await http::async_read_header(server->socket_, server->buffer_, *parser, redirect_error(use_awaitable, ec));
+        if (ec || !is_interim(parser->get().result_int()))
+        {
+            break;
+        }
+    }
+    co_return ec;
+}
+
 /// Reads the whole body of an answer.
 /// @return nothing when the body is truncated, exceeds the size limit or the memory left for buffered answers
 task<std::optional<std::string>> read_body(exchange& current, std::shared_ptr<backend_socket> server,
@@ -355,20 +384,20 @@
     current.watch_->backend_connection_ = connection;
     set_send_deadline(current, *connection, first_byte_deadline(current, forecast));
     const auto outgoing = start_sending(connection, make_server_request(current, server));
-    answer_parser parser;
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    parser.skip(current.request_.method() == http::verb::head);
-    boost::system::error_code ec;
-    co_await http::async_read_header(connection->socket_, connection->buffer_, parser,
-                                     redirect_error(use_awaitable, ec));
+    std::optional<answer_parser> parser;
+    const auto ec = co_await read_head(current, connection, parser);
     auto result = send_result::may_have_run;
     if (ec)
     {
         result = record_missing_answer(current, server, *connection, ec);
     }
+    else if (is_interim(parser->get().result_int()))
+    {
+        result = reject_answer(current, server, "interim_only");
+    }
     else
     {
-        result = co_await relay_answer(current, server, connection, parser, sent_at);
+        result = co_await relay_answer(current, server, connection, *parser, sent_at);
     }
     clear_close_deadline(*connection);
     close_socket(*connection);
