--- a/packages/gateway/src/connection/answer_reader.cpp
+++ b/packages/gateway/src/connection/answer_reader.cpp
@@ -1,5 +1,7 @@
 #include "connection/answer_reader.hpp"
 
+#include <limits>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -14,6 +16,8 @@
 /// Largest event that is buffered until its end arrives; a stream with a larger event is treated as cut. An event holds
 /// the tokens of one pass, some hundreds of bytes.
 constexpr std::size_t max_event_bytes = 1U << 20U;
+/// Servers send one or two interim answers; one that sends more is faulty.
+constexpr int max_interim_answers = 8;
 
 void complete_read(answer_reader& reader, const boost::system::error_code& failed)
 {
@@ -28,18 +32,18 @@
 
 bool is_event_complete(const answer_reader& reader)
 {
-    return reader.parser_.is_done() || reader.events_.find(event_end) != std::string::npos;
+    return reader.parser_->is_done() || reader.events_.find(event_end) != std::string::npos;
 }
 
 /// Reads part after part until an event is complete.
 void read_next_part(const std::shared_ptr<answer_reader>& reader)
 {
-    reader->parser_.get().body().data = reader->part_.data();
-    reader->parser_.get().body().size = reader->part_.size();
+    reader->parser_->get().body().data = reader->part_.data();
+    reader->parser_->get().body().size = reader->part_.size();
     http::async_read_some(
-        reader->connection_->socket_, reader->connection_->buffer_, reader->parser_,
+        reader->connection_->socket_, reader->connection_->buffer_, *reader->parser_,
         [reader](const boost::system::error_code& failed, std::size_t) {
-            reader->events_.append(reader->part_.data(), reader->part_.size() - reader->parser_.get().body().size);
+            reader->events_.append(reader->part_.data(), reader->part_.size() - reader->parser_->get().body().size);
             if (failed && failed != http::error::need_buffer)
             {
                 complete_read(*reader, failed);
@@ -59,6 +63,24 @@
         });
 }
 
+/// Reads head after head until one is not that of an interim answer.
+void read_next_head(const std::shared_ptr<answer_reader>& reader)
+{
+    reader->parser_.emplace();
+    reader->parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    reader->parser_->skip(reader->without_body_);
+    http::async_read_header(reader->connection_->socket_, reader->connection_->buffer_, *reader->parser_,
+                            [reader](const boost::system::error_code& failed, std::size_t) {
+                                const bool skip = !failed && is_interim(reader->parser_->get().result_int());
+                                if (skip && ++reader->interim_answers_ <= max_interim_answers)
+                                {
+                                    read_next_head(reader);
+                                    return;
+                                }
+                                complete_read(*reader, failed);
+                            });
+}
+
 /// Waits until the read under way has completed, at most until @a limit.
 task<bool> take_read(std::shared_ptr<answer_reader> reader, time_point limit)
 {
@@ -79,9 +101,7 @@
     if (!reader->started_)
     {
         reader->reads_head_ = reader->started_ = reader->reading_ = true;
-        http::async_read_header(
-            reader->connection_->socket_, reader->connection_->buffer_, reader->parser_,
-            [reader](const boost::system::error_code& failed, std::size_t) { complete_read(*reader, failed); });
+        read_next_head(reader);
     }
     co_return co_await take_read(reader, limit);
 }
@@ -97,6 +117,13 @@
     co_return co_await take_read(reader, limit);
 }
 
+bool is_interim(unsigned status)
+{
+    constexpr unsigned first_final_status = 200;
+    constexpr unsigned switching_protocols = 101;
+    return status < first_final_status && status != switching_protocols;
+}
+
 bool has_read(const answer_reader& reader)
 {
     return reader.started_ && !reader.reading_ && !reader.failed_;
--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -223,7 +223,7 @@
 {
     bool any_delivered = false;
     auto silent_at = switch_time(current, max_silence);
-    while (!reader->parser_.is_done())
+    while (!reader->parser_->is_done())
     {
         const auto taken_over = co_await read_or_switch(current, reader, read_events, silent_at);
         if (taken_over)
@@ -234,7 +234,7 @@
         if (last_event_end != std::string::npos)
         {
             const std::string_view events(reader->events_.data(), last_event_end + event_end.size());
-            const bool delivered = co_await send_events(current, reader->parser_, events);
+            const bool delivered = co_await send_events(current, *reader->parser_, events);
             if (!delivered)
             {
                 co_return send_result::broken_off;
@@ -253,7 +253,7 @@
     {
         co_return record_cut_stream(current, *reader->connection_);
     }
-    const bool end_sent = co_await send_end_of_stream(current, reader->parser_);
+    const bool end_sent = co_await send_end_of_stream(current, *reader->parser_);
     ++current.possible_runs_;
     co_return end_sent ? send_result::answered : send_result::broken_off;
 }
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <array>
-#include <limits>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -251,7 +250,7 @@
 task<send_result> relay_plain(exchange& current, listed_server server, std::shared_ptr<answer_reader> reader,
                               server_answer answer)
 {
-    auto body = co_await read_body(current, reader->connection_, reader->parser_);
+    auto body = co_await read_body(current, reader->connection_, *reader->parser_);
     if (!body)
     {
         co_return reject_answer(current, server, "not_whole");
@@ -263,7 +262,7 @@
         // Part of a stream has been sent. Only a server that resumes it can complete it.
         co_return send_result::server_failed;
     }
-    auto complete_answer = make_plain_answer(current, reader->parser_, std::move(*body));
+    auto complete_answer = make_plain_answer(current, *reader->parser_, std::move(*body));
     const bool last_attempt = current.possible_runs_ >= current.route_->max_attempts_ && current.silent_sends_.empty();
     if (is_server_failure(answer.status_) && is_retry_safe(current) && !last_attempt)
     {
@@ -276,7 +275,7 @@
 task<send_result> relay_answer(exchange& current, listed_server server, std::shared_ptr<answer_reader> reader,
                                time_point sent_at)
 {
-    const auto answer = current.state_.protocol_.read_answer_(reader->parser_.get());
+    const auto answer = current.state_.protocol_.read_answer_(reader->parser_->get());
     if (answers_another_request(current, answer))
     {
         co_return reject_answer(current, server, "answers_another_request");
@@ -307,12 +306,12 @@
 
 bool is_usable_head(const exchange& current, const answer_reader& reader)
 {
-    const auto answer = current.state_.protocol_.read_answer_(reader.parser_.get());
+    const auto answer = current.state_.protocol_.read_answer_(reader.parser_->get());
     constexpr unsigned ok = 200;
     const bool status_fits =
         current.route_->kind_ == request_kind::streaming ? answer.status_ == ok : !is_server_failure(answer.status_);
-    return status_fits && !answer.did_not_run_ && !answers_another_request(current, answer) &&
-           rejection_reason(answer) == nullptr;
+    return status_fits && !is_interim(answer.status_) && !answer.did_not_run_ &&
+           !answers_another_request(current, answer) && rejection_reason(answer) == nullptr;
 }
 
 send_result record_incomplete_send(exchange& current)
@@ -367,10 +366,9 @@
     current.watch_->backend_connection_ = connection;
     set_close_deadline(*connection, current.deadline_);
     const auto outgoing = start_sending(connection, make_server_request(current, server));
-    const auto reader = std::make_shared<answer_reader>(connection, current.state_.answer_buffers_);
+    const auto reader = std::make_shared<answer_reader>(connection, current.state_.answer_buffers_,
+                                                        current.request_.method() == http::verb::head);
     current.send_.resources_->reader_ = reader;
-    reader->parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
-    reader->parser_.skip(current.request_.method() == http::verb::head);
     auto silent_at = switch_time(current, max_first_byte_time(current, forecast));
     const auto taken_over = co_await read_or_switch(current, reader, read_head, silent_at);
     auto result = taken_over.value_or(send_result::may_have_run);
@@ -378,6 +376,10 @@
     {
         result = record_missing_answer(current, server, *connection, reader->failed_);
     }
+    else if (!taken_over && is_interim(reader->parser_->get().result_int()))
+    {
+        result = reject_answer(current, server, "interim_only");
+    }
     else if (!taken_over)
     {
         result = co_await relay_answer(current, server, reader, sent_at);
