Refuse late requests in a stop unless they end before it for certain

Cause: a request that may be repeated was passed on when twice its forecast and 0.5 s fitted before the end. A server that is silent for a while makes any forecast wrong, and a begun stream has no final answer. Class: a promise that rests on a forecast.

Requests that came before keep the forecast.

--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -60,7 +60,8 @@
 
     buffer_budget answer_buffers_;
     loop_lateness loop_lateness_;
-    bool stopping_ = false;       ///< SIGTERM or SIGINT was received
+    bool stopping_ = false;                         ///< SIGTERM or SIGINT was received
+    time_point listens_until_ = time_point::max();  ///< when the listening socket was closed
     time_point end_requests_at_;  ///< while stopping: requests without a begun answer get their final answer then
     std::set<exchange*> open_exchanges_;  ///< requests under way
     std::size_t open_callers_ = 0;        ///< callers' connections; a stop waits for those with a request under way
--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -204,6 +204,7 @@
     accept_waiting_callers(state, acceptors.callers_);
     boost::system::error_code ignored;  // the process ends even if the acceptor cannot be closed
     acceptors.callers_.close(ignored);
+    state.listens_until_ = clock::now();
     co_await finish_requests(state, end_at);
     const auto lasted = std::chrono::duration_cast<milliseconds>(clock::now() - started_at);
     log_cut_requests(state);
--- a/packages/gateway/src/request/plan_request.cpp
+++ b/packages/gateway/src/request/plan_request.cpp
@@ -186,7 +186,10 @@
     {
         facts.stop_in_ = std::chrono::duration_cast<milliseconds>(state.end_requests_at_ - now);
     }
-    if (is_retry_safe(current) && plan && current.service_->engine_)
+    // Later requests come on connections that callers keep open. Another VM can take them at once, and a forecast may
+    // be wrong.
+    const bool came_early = current.arrived_ < state.listens_until_;
+    if (came_early && is_retry_safe(current) && plan && current.service_->engine_)
     {
         facts.expected_ = plan->starts_in_ + plan->forecast_.first_token_ +
                           generation_time(*current.service_->engine_, work.prompt_, work.answer_left_);
--- a/tests/gateway/late_stop_test.cpp
+++ b/tests/gateway/late_stop_test.cpp
@@ -28,8 +28,44 @@
     return settings;
 }
 
+/// A route to engines that answer within some 100 ms by forecast, whose streams can be resumed.
+std::shared_ptr<const routing_table> engine_route()
+{
+    route matched;
+    matched.kind_ = request_kind::streaming;
+    matched.resumable_ = true;
+    matched.host_ = "h";
+    matched.path_prefix_ = "/r/";
+    matched.timeout_ = milliseconds{20'000};
+    matched.services_ = {{service_id{"s"}, 1.0}};
+    engine_profile engine;
+    engine.slots_ = 16;
+    engine.kv_capacity_ = token_count{400'000};
+    engine.prefill_tokens_per_ms_ = 100;
+    engine.decode_steps_per_pass_ = 34;
+    engine.mean_output_tokens_ = token_count{100};
+    auto table = std::make_shared<routing_table>();
+    table->version_ = configuration_version{1};
+    add_route(*table, matched);
+    table->services_[service_id{"s"}] = service_description{service_id{"s"}, "/health", 100, engine};
+    return table;
+}
+
 }  // namespace
 
+TEST_CASE("a stop passes on a late request by a forecast and cuts its stream at the end")
+{
+    // Callers with an open connection can send until it is closed; another VM can take their requests at once.
+    running_gateway gateway(settings_with_limit(milliseconds{6000}), engine_route(), {stream_events(1, 2), true});
+    blocking_caller caller(gateway.address());
+    gateway.stop();
+    gateway.sleep_until(milliseconds{2900});
+    caller.send(kept_request);
+    const auto answer = caller.receive();
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 503"));
+    CHECK(is_whole(answer));
+}
+
 TEST_CASE("a stop closes a connection whose request arrived while the loop was blocked")
 {
     // Idle connections are closed from 3.1 s after the signal without a look at what the kernel holds for them.
--- a/tests/gateway/stop_fixture.hpp
+++ b/tests/gateway/stop_fixture.hpp
@@ -86,10 +86,15 @@
 {
   public:
     running_gateway(gateway_settings settings, request_kind kind, const scripted_response& response)
+        : running_gateway(std::move(settings), one_route(kind, milliseconds{20'000}), response)
+    {}
+
+    running_gateway(gateway_settings settings, std::shared_ptr<const routing_table> table,
+                    const scripted_response& response)
         : settings_(std::move(settings))
     {
-        callbacks_.on_start_ = [this, kind, response](gateway_state& state) {
-            activate_table(state, one_route(kind, milliseconds{20'000}));
+        callbacks_.on_start_ = [this, table = std::move(table), response](gateway_state& state) {
+            activate_table(state, table);
             // The server's own task keeps it, so that it ends with the gateway's context.
             std::vector<std::shared_ptr<fake_server>> servers;
             add_server(state, servers, response);
