--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -43,7 +43,8 @@
 void check_now(deployment& all, soak_result& result)
 {
     read_journals(all);
-    auto found = check_promises(all.seen_, promise_bounds{}, all.settings_.events_, clock::now());
+    const auto check = all.settings_.planned_stops_ ? check_planned_work : check_promises;
+    auto found = check(all.seen_, all.settings_.bounds_, all.settings_.events_, clock::now());
     print_new(result.findings_, found);
     result.findings_ = std::move(found);
 }
@@ -70,7 +71,8 @@
     {
         spawn(all.executor_, "call_until_end", call_until_end(all));
     }
-    const auto faults = draw_faults(all.random_, all.settings_.length_);
+    const auto draw = all.settings_.planned_stops_ ? draw_planned_work : draw_faults;
+    const auto faults = draw(all.random_, all.settings_.length_);
     for (const auto& fault : faults)
     {
         std::cout << fault.at_.count() << " ms: " << fault.kind_ << " " << fault.target_ << " for "
@@ -86,7 +88,7 @@
     all.ending_ = true;
     co_await sleep_for(check_interval);
     const std::size_t first_after = all.seen_.requests_.size();
-    for (int round = 0; round < final_rounds; ++round)
+    for (int round = 0; round < final_rounds && !all.settings_.planned_stops_; ++round)
     {
         co_await call_each_vm(all);
     }
@@ -100,6 +102,20 @@
     result.finished_ = true;
 }
 
+/// Sizes of the site on which streams were lost around planned stops; a short idle limit gives more reused connections.
+void plan_stops(soak_settings& settings)
+{
+    settings.planned_stops_ = true;
+    settings.vms_ = 6;
+    settings.servers_ = 6;
+    settings.callers_ = 64;
+    settings.events_ = 38;
+    settings.duration_ = milliseconds{40};
+    settings.stream_target_ = milliseconds{1000};
+    settings.idle_limit_ = milliseconds{4000};
+    settings.bounds_.route_limit_ = milliseconds{10'000};
+}
+
 soak_settings settings_of(const cxxopts::ParseResult& flags)
 {
     soak_settings settings;
@@ -111,6 +127,10 @@
     settings.programs_ = flags["programs"].as<std::string>();
     settings.folder_ = flags["folder"].as<std::string>();
     settings.folder_ /= "soak-" + std::to_string(settings.seed_);
+    if (flags["planned-stops"].as<bool>())
+    {
+        plan_stops(settings);
+    }
     return settings;
 }
 
@@ -133,6 +153,14 @@
     std::cout << "seed " << settings.seed_ << ": " << all.seen_.requests_.size() << " requests, " << served
               << " served, " << all.seen_.stops_.size() << " stops, " << all.seen_.changes_.size() << " changes, "
               << result.findings_.size() << " promises not kept" << std::endl;
+    if (settings.planned_stops_)
+    {
+        const auto in_stops = count_requests_in_stops(all.seen_, settings.bounds_);
+        const auto lost = std::ranges::count(result.findings_, "planned_stop", &finding::promise_);
+        std::cout << "in stops: " << in_stops << " requests, " << lost << " lost, "
+                  << static_cast<double>(lost) * 1000.0 / static_cast<double>(std::max<std::size_t>(in_stops, 1))
+                  << " of 1000" << std::endl;
+    }
     const bool kept = result.finished_ && result.findings_.empty();
     if (kept)
     {
@@ -156,7 +184,7 @@
         "callers", "callers at once", cxxopts::value<std::size_t>()->default_value("16"))(
         "programs", "folder of the build", cxxopts::value<std::string>()->default_value("build/dev"))(
         "folder", "for logs; kept when a promise is not", cxxopts::value<std::string>()->default_value("/tmp"))(
-        "help", "show the flags");
+        "planned-stops", "planned work and slow servers only, with sizes of its own")("help", "show the flags");
     try
     {
         const auto flags = options.parse(argc, argv);
--- a/soak/process/deployment.cpp
+++ b/soak/process/deployment.cpp
@@ -74,8 +74,8 @@
             {"host", "soak.example"},
             {"path_prefix", prefix},
             {"kind", name},
-            {"timeout_ms", promise_bounds{}.route_limit_.count()},
-            {"target_latency_ms", streams ? 250 : 100},
+            {"timeout_ms", all.settings_.bounds_.route_limit_.count()},
+            {"target_latency_ms", streams ? all.settings_.stream_target_.count() : 100},
             {"gap_aim_ms", 250},
             {"priority", streams ? 1 : 0},
             {"service", streams ? "generations" : "calls"},
@@ -94,7 +94,7 @@
         routes.push_back(route_json(all, prefix, call_kind::repeatable));
     });
     const json engine{{"slots", 8},          {"kv_capacity_tokens", 400000},
-                      {"stride", 1},         {"step_ms", 15.0},
+                      {"stride", 1},         {"step_ms", static_cast<double>(all.settings_.duration_.count())},
                       {"per_seq_ms", 0.01},  {"context_per_k", 0.01},
                       {"read_per_s", 1.0e6}, {"pairs_per_m", 0.0},
                       {"chunk", 8192},       {"usual", {{"prompt", 1000}, {"answer", all.settings_.events_}}}};
@@ -107,7 +107,7 @@
              {{"max_header_bytes", 16384},
               {"max_body_bytes", 4194304},
               {"header_timeout_ms", 3000},
-              {"idle_timeout_ms", 15000}}},
+              {"idle_timeout_ms", all.settings_.idle_limit_.count()}}},
             {"tenants", {{{"name", "organisation"}, {"api_keys", all.keys_}}}}};
 }
 
@@ -123,7 +123,7 @@
 
 void write_settings(const deployment& all, const vm_process& vm)
 {
-    const promise_bounds bounds;
+    const auto& bounds = all.settings_.bounds_;
     std::ofstream file(settings_file(all, vm));
     file << "node_name = \"" << vm.name_ << "\"\nip = \"127.0.0.1\"\nzone = \"z\"\ninternal_ports = ["
          << port_of(tests::free_address()) << ", " << port_of(tests::free_address()) << "]\n[listen_addrs]\nfront = \""
@@ -199,7 +199,7 @@
                                              "--id",          server.id_,
                                              "--events",      std::to_string(all.settings_.events_),
                                              "--journal",     journal_of(all, index).string(),
-                                             "--duration-ms", "15"};
+                                             "--duration-ms", std::to_string(all.settings_.duration_.count())};
     server.process_.emplace((all.settings_.programs_ / "standins/server_standin").string(), arguments,
                             output_to(all, "server-" + std::to_string(index)));
     return address;
@@ -249,6 +249,7 @@
 {
     auto& vm = all.vms_[index];
     ++vm.starts_;
+    vm.stopping_ = false;
     auto surroundings = output_to(all, vm.name_);
     surroundings.variables_ = {"CORNELSTALL_NODE_FILE=" + settings_file(all, vm).string()};
     vm.process_.emplace((all.settings_.programs_ / "apps/cornelstall/cornelstall").string(), std::vector<std::string>{},
--- a/soak/process/deployment.hpp
+++ b/soak/process/deployment.hpp
@@ -18,9 +18,14 @@
     std::size_t vms_ = 3;
     std::size_t servers_ = 4;  ///< of each service
     std::size_t callers_ = 16;
-    std::filesystem::path programs_;  ///< folder of the build
-    std::filesystem::path folder_;    ///< for logs, journals and settings files
-    int events_ = 10;                 ///< of each generation
+    std::filesystem::path programs_;   ///< folder of the build
+    std::filesystem::path folder_;     ///< for logs, journals and settings files
+    int events_ = 10;                  ///< of each generation
+    milliseconds duration_{15};        ///< of a plain call and before each event
+    milliseconds stream_target_{250};  ///< target of the first event of a stream
+    milliseconds idle_limit_{15'000};  ///< of callers' connections
+    bool planned_stops_ = false;       ///< planned work and slow servers only
+    promise_bounds bounds_;
 };
 
 /// @brief One entry VM: a process of the product behind proxies for its callers and its store.
@@ -35,6 +40,7 @@
     int starts_ = 0;
     bool in_rotation_ = false;
     int misses_ = 0;
+    bool stopping_ = false;  ///< SIGTERM was sent to the present process
 };
 
 /// @brief One backend server behind a proxy; a new process has a new id.
--- a/soak/process/faults.cpp
+++ b/soak/process/faults.cpp
@@ -19,6 +19,13 @@
 constexpr int series_share = 3;
 constexpr milliseconds series_gap{600};
 constexpr milliseconds exit_check{20};
+/// Between the end of a stopped process and the start of the next one.
+constexpr milliseconds restart_pause{300};
+/// Of planned work: mean times between two waves of stops, and between the other kinds.
+constexpr milliseconds stop_interval{5000};
+constexpr milliseconds planned_interval{4000};
+/// Servers that stand still do so for this long at least.
+constexpr milliseconds shortest_silence{1500};
 constexpr milliseconds slow_link{80};
 /// A killed server's entry lapses after this time.
 constexpr milliseconds entry_lapse{800};
@@ -115,6 +122,7 @@
     if (auto& process = all.vms_[vm_of(all, fault)].process_)
     {
         process->send(SIGHUP);
+        all.seen_.reloads_.push_back({vm_of(all, fault), clock::now()});
     }
     co_return;
 }
@@ -280,6 +288,115 @@
     note_change(all, kind::route_added, added);
 }
 
+/// The VMs that a wave of stops may end: ready ones, of which one stays.
+std::vector<std::size_t> draw_stopped(deployment& all, std::size_t wanted)
+{
+    std::vector<std::size_t> ready;
+    for (std::size_t index = 0; index < all.vms_.size(); ++index)
+    {
+        if (all.vms_[index].process_ && all.vms_[index].in_rotation_ && !all.vms_[index].stopping_)
+        {
+            ready.push_back(index);
+        }
+    }
+    std::ranges::shuffle(ready, all.random_);
+    ready.resize(std::min(wanted, ready.empty() ? 0 : ready.size() - 1));
+    return ready;
+}
+
+/// SIGTERM, SIGKILL after the grace period as the platform does, and a new process.
+task<> stop_in_grace(deployment& all, std::size_t index)
+{
+    auto& vm = all.vms_[index];
+    vm.stopping_ = true;
+    const auto recorded = all.seen_.stops_.size();
+    const auto begun_at = clock::now();
+    all.seen_.stops_.push_back({index, begun_at, std::nullopt, 0});
+    vm.process_->send(SIGTERM);
+    std::optional<int> code;
+    while (!code)
+    {
+        if (clock::now() >= begun_at + all.settings_.bounds_.stop_)
+        {
+            vm.process_->send(SIGKILL);
+        }
+        co_await sleep_for(exit_check);
+        code = vm.process_->ended();
+    }
+    all.seen_.stops_[recorded].ended_at_ = clock::now();
+    all.seen_.stops_[recorded].exit_code_ = *code;
+    vm.process_.reset();
+    co_await sleep_for(restart_pause);
+    start_vm(all, index);
+}
+
+/// Stops a third or half of the VMs, at the same moment or with gaps.
+task<> stop_several(deployment& all, const planned_fault& fault)
+{
+    const auto wanted = all.vms_.size() / (fault.target_ % 2 == 0 ? 2 : 3);
+    const auto stopped = draw_stopped(all, wanted);
+    const auto gap = fault.target_ % 3 == 0 ? milliseconds{0} : fault.length_ / 4;
+    for (const auto index : stopped)
+    {
+        spawn(all.executor_, "stop_in_grace", stop_in_grace(all, index));
+        co_await sleep_for(gap);
+    }
+}
+
+/// Gives VMs little processor time: each runs for a part of short spans only.
+task<> starve_vms(deployment& all, const planned_fault& fault)
+{
+    const auto end = clock::now() + fault.length_;
+    while (clock::now() < end)
+    {
+        const auto signal_all = [&all](int signal) {
+            std::ranges::for_each(all.vms_, [signal](const vm_process& vm) {
+                if (vm.process_)
+                {
+                    vm.process_->send(signal);
+                }
+            });
+        };
+        signal_all(SIGSTOP);
+        co_await sleep_for(milliseconds{20 + all.draw(50)});
+        signal_all(SIGCONT);
+        co_await sleep_for(milliseconds{10 + all.draw(40)});
+    }
+}
+
+/// Some generation servers stand still and go on; the others reject everything meanwhile, or serve on.
+task<> pause_generations(deployment& all, const planned_fault& fault)
+{
+    const auto pause = std::max(fault.length_, shortest_silence);
+    const std::size_t services = 2;
+    const auto paused = fault.target_ % all.settings_.servers_;
+    const bool others_full = fault.target_ % 2 == 0;
+    for (std::size_t number = 0; number < all.settings_.servers_; ++number)
+    {
+        const auto distance = (number + all.settings_.servers_ - paused) % all.settings_.servers_;
+        const auto address = all.servers_[services * number + 1].link_->target_;
+        if (distance < all.settings_.servers_ / 2)
+        {
+            co_await set_faults(all, address, R"({"pause_ms":)" + std::to_string(pause.count()) + "}");
+        }
+        else if (others_full)
+        {
+            co_await set_faults(all, address, R"({"full":true})");
+        }
+    }
+    co_await sleep_for(pause);
+    for (std::size_t number = 0; number < all.settings_.servers_; ++number)
+    {
+        const auto address = all.servers_[services * number + 1].link_->target_;
+        co_await set_faults(all, address, R"({"full":false})");
+    }
+}
+
+constexpr std::array<fault_kind, 4> planned_kinds{{{"stop_several", stop_several},
+                                                   {"reload_vm", reload_vm},
+                                                   {"starve_vms", starve_vms},
+                                                   {"pause_generations", pause_generations}}};
+
 constexpr std::array<fault_kind, 14> fault_kinds{{{"kill_vm", kill_vm},
                                                   {"pause_vm", pause_vm},
                                                   {"stop_vm", stop_vm},
@@ -299,6 +416,11 @@
 
 const fault_kind& kind_named(const std::string& name)
 {
+    const auto* const planned = std::ranges::find(planned_kinds, name, &fault_kind::name_);
+    if (planned != planned_kinds.end())
+    {
+        return *planned;
+    }
     const auto* const found = std::ranges::find(fault_kinds, name, &fault_kind::name_);
     return found == fault_kinds.end() ? change_kind : *found;
 }
@@ -330,6 +452,29 @@
     return faults;
 }
 
+std::vector<planned_fault> draw_planned_work(std::mt19937_64& random, std::chrono::seconds length)
+{
+    const auto draw = [&random](std::int64_t from, std::int64_t end) {
+        return std::uniform_int_distribution<std::int64_t>(from, end - 1)(random);
+    };
+    std::vector<planned_fault> faults;
+    std::ranges::for_each(planned_kinds, [&](const fault_kind& kind) {
+        const bool stops = kind.name_ == std::string("stop_several");
+        const std::int64_t interval = stops ? stop_interval.count() : planned_interval.count();
+        for (milliseconds at{draw(0, interval)}; at < length; at += milliseconds{draw(interval / 2, interval * 3 / 2)})
+        {
+            planned_fault fault;
+            fault.kind_ = kind.name_;
+            fault.at_ = at;
+            fault.length_ = milliseconds{draw(shortest_silence.count(), longest_fault.count())};
+            fault.target_ = static_cast<std::size_t>(draw(0, 1000));
+            faults.push_back(fault);
+        }
+    });
+    std::ranges::sort(faults, {}, &planned_fault::at_);
+    return faults;
+}
+
 task<> play_fault(deployment& all, planned_fault fault)
 {
     co_await sleep_for(fault.at_);
--- a/soak/process/faults.hpp
+++ b/soak/process/faults.hpp
@@ -20,6 +20,9 @@
 /// @brief Draws faults that overlap and come in series.
 [[nodiscard]] std::vector<planned_fault> draw_faults(std::mt19937_64& random, std::chrono::seconds length);
 
+/// @brief Draws planned work that overlaps, beside busy VMs and silent or full servers.
+[[nodiscard]] std::vector<planned_fault> draw_planned_work(std::mt19937_64& random, std::chrono::seconds length);
+
 /// @brief Brings about @a fault at its time and repairs it.
 [[nodiscard]] task<> play_fault(deployment& all, planned_fault fault);
 
--- a/soak/process/promises.cpp
+++ b/soak/process/promises.cpp
@@ -92,6 +92,46 @@
            (!request.ended_at_ || *request.ended_at_ >= stop.begun_at_);
 }
 
+/// True when a server was still at work on @a request at @a at or later, while its caller waited.
+bool is_at_work_after(const sent_request& request, const std::vector<const server_note*>& notes, time_point at)
+{
+    return std::ranges::any_of(notes, [&](const server_note* run) {
+        const auto is_end = [run](const server_note* later) {
+            return later->server_ == run->server_ && later->at_ >= run->at_ &&
+                   (later->what_ == "done" || later->what_ == "cut" || later->what_ == "left");
+        };
+        const auto ended = std::ranges::find_if(notes, is_end);
+        const auto until = ended == notes.end() ? *request.ended_at_ : std::min((*ended)->at_, *request.ended_at_);
+        return is_run(*run) && run->at_ <= *request.ended_at_ && until >= at;
+    });
+}
+
+bool is_around(const sent_request& request, const planned_stop& stop, const promise_bounds& bounds)
+{
+    return request.vm_ == stop.vm_ && request.sent_at_ <= stop.begun_at_ + bounds.stop_ + bounds.after_stop_ &&
+           request.ended_at_ && *request.ended_at_ >= stop.begun_at_;
+}
+
+bool is_cut_around(const sent_request& request, const planned_stop& stop, const promise_bounds& bounds)
+{
+    return is_around(request, stop, bounds) && *request.ended_at_ <= stop.begun_at_ + bounds.stop_ + bounds.after_stop_;
+}
+
+bool is_cut_around(const sent_request& request, const planned_reload& reload, const promise_bounds& bounds)
+{
+    return request.vm_ == reload.vm_ && request.sent_at_ <= reload.at_ + bounds.configuration_ &&
+           *request.ended_at_ >= reload.at_;
+}
+
+/// True when something other than planned work disturbed @a request. Its key makes the store's disruption an excuse.
+bool is_disrupted_otherwise(const observations& seen, const sent_request& request, const promise_bounds& bounds)
+{
+    constexpr std::array parts{disrupted_part::vm, disrupted_part::store, disrupted_part::server};
+    return std::ranges::any_of(parts, [&](disrupted_part part) {
+        return is_disrupted(seen, part, request.vm_, request.sent_at_ - bounds.stable_, *request.ended_at_);
+    });
+}
+
 /// True when a request that came early in a stop was still being answered near the end of the grace period.
 bool may_outlast_stop(const sent_request& request, const planned_stop& stop, const promise_bounds& bounds)
 {
@@ -179,14 +219,9 @@
     return found;
 }
 
-std::vector<finding> check_stops(const observations& seen, const promise_bounds& bounds, time_point now)
+std::vector<finding> check_stop_ends(const observations& seen, const promise_bounds& bounds, time_point now)
 {
     std::vector<finding> found;
-    const auto runs = runs_by_request(seen);
-    // A request that crosses the close of an idle connection was not taken.
-    const auto was_taken = [&](const sent_request& request) {
-        return runs.contains(request.id_) || *request.ended_at_ - request.sent_at_ > bounds.loss_slack_;
-    };
     std::ranges::for_each(seen.stops_, [&](const planned_stop& stop) {
         const auto vm = "vm-" + std::to_string(stop.vm_);
         const auto end = stop.ended_at_.value_or(now);
@@ -199,6 +234,75 @@
         {
             found.push_back({"stops", vm, "exit code " + std::to_string(stop.exit_code_)});
         }
+    });
+    return found;
+}
+
+std::vector<finding> check_planned_stop(const observations& seen, const promise_bounds& bounds)
+{
+    std::map<std::string, std::vector<const server_note*>> notes;
+    std::ranges::for_each(seen.notes_, [&notes](const server_note& note) { notes[note.request_].push_back(&note); });
+    std::vector<finding> found;
+    std::ranges::for_each(seen.requests_, [&](const sent_request& request) {
+        if (!request.ended_at_ || request.whole_ || request.left_ || !request.last_byte_at_)
+        {
+            return;
+        }
+        const auto& seen_by_servers = notes[request.id_];
+        const bool was_passed_on = !seen_by_servers.empty();
+        const bool was_read = was_passed_on || *request.ended_at_ > *request.last_byte_at_ + bounds.loss_slack_;
+        const bool server_broke_off =
+            std::ranges::any_of(seen_by_servers, [](const server_note* note) { return note->what_ == "cut"; });
+        const bool timed_out = *request.ended_at_ >= request.sent_at_ + bounds.route_limit_;
+        if (!was_read || server_broke_off || timed_out || is_disrupted_otherwise(seen, request, bounds))
+        {
+            return;
+        }
+        const auto is_lost_in = [&](const planned_stop& stop) {
+            const bool excused =
+                request.sent_at_ <= stop.begun_at_ + bounds.early_in_stop_ &&
+                is_at_work_after(request, seen_by_servers, stop.begun_at_ + bounds.stop_ - bounds.stop_ / 6);
+            return is_cut_around(request, stop, bounds) && !excused;
+        };
+        const auto stop = std::ranges::find_if(seen.stops_, is_lost_in);
+        const auto reload = std::ranges::find_if(
+            seen.reloads_, [&](const planned_reload& each) { return is_cut_around(request, each, bounds); });
+        if (stop == seen.stops_.end() && reload == seen.reloads_.end())
+        {
+            return;
+        }
+        const bool in_stop = stop != seen.stops_.end();
+        const auto begun_at = in_stop ? stop->begun_at_ : reload->at_;
+        found.push_back({"planned_stop", request.id_,
+                         "vm-" + std::to_string(request.vm_) + (in_stop ? " SIGTERM" : " SIGHUP") + ", sent " +
+                             in_ms(request.sent_at_ - begun_at) + " and closed " +
+                             in_ms(*request.ended_at_ - begun_at) + " after it, status " +
+                             std::to_string(request.status_) + ", " + std::to_string(request.answer_.size()) +
+                             " bytes" + (was_passed_on ? "" : ", not passed on")});
+    });
+    return found;
+}
+
+std::size_t count_requests_in_stops(const observations& seen, const promise_bounds& bounds)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(seen.requests_, [&](const sent_request& request) {
+        return std::ranges::any_of(seen.stops_,
+                                   [&](const planned_stop& stop) { return is_around(request, stop, bounds); });
+    }));
+}
+
+std::vector<finding> check_stops(const observations& seen, const promise_bounds& bounds, time_point now)
+{
+    std::vector<finding> found = check_stop_ends(seen, bounds, now);
+    const auto runs = runs_by_request(seen);
+    // A request that crosses the close of an idle connection was not taken.
+    const auto was_taken = [&](const sent_request& request) {
+        return runs.contains(request.id_) || *request.ended_at_ - request.sent_at_ > bounds.loss_slack_;
+    };
+    std::ranges::for_each(seen.stops_, [&](const planned_stop& stop) {
+        const auto vm = "vm-" + std::to_string(stop.vm_);
+        const auto end = stop.ended_at_.value_or(now);
+        const bool calm = !is_disrupted(seen, disrupted_part::vm, stop.vm_, stop.begun_at_ - bounds.stable_, end);
         std::ranges::for_each(seen.requests_, [&](const sent_request& request) {
             const bool cut = request.ended_at_ && !request.whole_ && !request.left_;
             if (calm && cut && is_open_during_stop(request, stop, end) && was_taken(request) &&
@@ -298,24 +402,44 @@
     return found;
 }
 
-std::vector<finding> check_promises(const observations& seen, const promise_bounds& bounds, int events, time_point now)
+namespace
+{
+
+void add_to(std::vector<finding>& all, const std::vector<finding>& found)
+{
+    all.insert(all.end(), found.begin(), found.end());
+}
+
+std::vector<finding> without_repeats(std::vector<finding> all)
 {
-    std::vector<finding> all;
-    const auto add = [&all](const std::vector<finding>& found) {
-        all.insert(all.end(), found.begin(), found.end());
-    };
-    add(check_runs_once(seen));
-    add(check_refusals_are_true(seen));
-    add(check_answers_are_whole(seen, events));
-    add(check_requests_are_asked(seen));
-    add(check_answers_in_time(seen, bounds, now));
-    add(check_stops(seen, bounds, now));
-    add(check_changes(seen, bounds));
-    add(check_repeats(seen, bounds));
     std::ranges::sort(all);
     const auto repeated = std::ranges::unique(all);
     all.erase(repeated.begin(), repeated.end());
     return all;
 }
 
+}  // namespace
+
+std::vector<finding> check_planned_work(const observations& seen, const promise_bounds& bounds, int events,
+                                        time_point now)
+{
+    std::vector<finding> all = check_runs_once(seen);
+    add_to(all, check_refusals_are_true(seen));
+    add_to(all, check_answers_are_whole(seen, events));
+    add_to(all, check_requests_are_asked(seen));
+    add_to(all, check_answers_in_time(seen, bounds, now));
+    add_to(all, check_stop_ends(seen, bounds, now));
+    add_to(all, check_planned_stop(seen, bounds));
+    add_to(all, check_repeats(seen, bounds));
+    return without_repeats(std::move(all));
+}
+
+std::vector<finding> check_promises(const observations& seen, const promise_bounds& bounds, int events, time_point now)
+{
+    std::vector<finding> all = check_planned_work(seen, bounds, events, now);
+    add_to(all, check_stops(seen, bounds, now));
+    add_to(all, check_changes(seen, bounds));
+    return without_repeats(std::move(all));
+}
+
 }  // namespace cornelstall::soak
--- a/soak/process/promises.hpp
+++ b/soak/process/promises.hpp
@@ -19,6 +19,7 @@
     milliseconds loss_slack_{200};        ///< a request may cross the close of its connection for this long
     milliseconds stop_{8000};             ///< a stopped process ends within this time
     milliseconds early_in_stop_{3000};    ///< requests sent later than this after a stop began are never cut off by it
+    milliseconds after_stop_{1000};       ///< a stop counts as planned work for this long after it should have ended
     milliseconds stable_{3000};           ///< bounds hold again this long after a disruption
     double repeat_ratio_ = 0.2;           ///< repeats allowed for each request
     double repeat_extra_ = 100.0;         ///< repeats allowed beyond the ratio
@@ -54,12 +55,29 @@
 /// @brief A planned stop ends in time with exit code 0 and cuts off no request.
 [[nodiscard]] std::vector<finding> check_stops(const observations& seen, const promise_bounds& bounds, time_point now);
 
+/// @brief A planned stop ends in time with exit code 0.
+[[nodiscard]] std::vector<finding> check_stop_ends(const observations& seen, const promise_bounds& bounds,
+                                                   time_point now);
+
+/// @brief Around a planned stop or reload no request that the VM has read ends without a complete answer.
+///
+/// The server broke off, the time limit, and work in the last sixth of the grace period on a request that was sent
+/// early in the stop are excuses. A silent server is none.
+[[nodiscard]] std::vector<finding> check_planned_stop(const observations& seen, const promise_bounds& bounds);
+
+/// @brief The requests that were open at a VM around one of its planned stops.
+[[nodiscard]] std::size_t count_requests_in_stops(const observations& seen, const promise_bounds& bounds);
+
 /// @brief Keys that were taken away, routes that were added or removed and servers that leave are respected in time.
 [[nodiscard]] std::vector<finding> check_changes(const observations& seen, const promise_bounds& bounds);
 
 /// @brief Servers get no more repeats in any window than the budget allows.
 [[nodiscard]] std::vector<finding> check_repeats(const observations& seen, const promise_bounds& bounds);
 
+/// @brief The checks that hold when only planned work disturbs the VMs, each finding once.
+[[nodiscard]] std::vector<finding> check_planned_work(const observations& seen, const promise_bounds& bounds,
+                                                      int events, time_point now);
+
 /// @brief All checks, each finding once.
 [[nodiscard]] std::vector<finding> check_promises(const observations& seen, const promise_bounds& bounds, int events,
                                                   time_point now);
--- a/soak/request/record.hpp
+++ b/soak/request/record.hpp
@@ -29,7 +29,9 @@
     std::string body_;
     std::int64_t prompt_tokens_ = 1000;  ///< of a generation
     std::size_t vm_ = 0;                 ///< the VM that the caller's connection went to
+    bool chunked_ = false;               ///< the body is sent in chunks
     time_point sent_at_;
+    std::optional<time_point> last_byte_at_;  ///< the request was written whole
     std::optional<time_point> ended_at_;
     bool left_ = false;    ///< the caller closed its connection before the answer
     unsigned status_ = 0;  ///< 0 when the connection ended without an answer
@@ -44,7 +46,7 @@
     time_point at_;
     std::string server_;
     std::string request_;
-    std::string what_;  ///< `run`, `done` or `refused`
+    std::string what_;  ///< `run`, `done`, `refused`, `cut` by the server, or `left` by the VM
     std::string path_;
     std::string organisation_;
     bool has_key_ = false;
@@ -92,6 +94,13 @@
     int exit_code_ = 0;
 };
 
+/// @brief A SIGHUP of a VM.
+struct planned_reload
+{
+    std::size_t vm_ = 0;
+    time_point at_;
+};
+
 /// @brief All that was seen from outside.
 struct observations
 {
@@ -100,6 +109,7 @@
     std::vector<disruption> disruptions_;
     std::vector<acknowledged_change> changes_;
     std::vector<planned_stop> stops_;
+    std::vector<planned_reload> reloads_;
 };
 
 }  // namespace cornelstall::soak
--- a/standins/src/process/faults.cpp
+++ b/standins/src/process/faults.cpp
@@ -32,6 +32,11 @@
     plan.delay_ = milliseconds{delay};
     take(change, "lose_acknowledgement", plan.lose_acknowledgements_);
     take(change, "silent", plan.silent_calls_);
+    if (const auto pause = change.find("pause_ms"); pause != change.end())
+    {
+        plan.paused_until_ = std::chrono::steady_clock::now() + milliseconds{pause->get<std::int64_t>()};
+    }
+    take(change, "full", plan.full_);
     take(change, "close_reused", plan.close_reused_);
     take(change, "drain", plan.drain_);
     take(change, "cache_event_gap", plan.cache_event_gap_);
--- a/standins/src/process/faults.hpp
+++ b/standins/src/process/faults.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -33,8 +34,11 @@
     milliseconds delay_{0};
     int lose_acknowledgements_ = 0;  ///< for this many calls: act, then cut the connection
     int silent_calls_ = 0;           ///< read this many calls and never answer; negative: all
-    int close_reused_ = 0;           ///< act, then cut, but only on a connection that has served a request before
-    int disturbed_streams_ = 0;      ///< for this many answer streams `stream_` applies
+    /// Answers make no progress until then, and go on afterwards.
+    std::chrono::steady_clock::time_point paused_until_;
+    bool full_ = false;          ///< reject all requests as not run
+    int close_reused_ = 0;       ///< act, then cut, but only on a connection that has served a request before
+    int disturbed_streams_ = 0;  ///< for this many answer streams `stream_` applies
     stream_faults stream_;
     bool drain_ = false;
     int cache_event_gap_ = 0;  ///< drop this many of the next cache events
--- a/standins/src/process/server.cpp
+++ b/standins/src/process/server.cpp
@@ -82,9 +82,20 @@
     co_await work.async_wait(boost::asio::use_awaitable);
 }
 
+/// Waits as long as the server makes no progress.
+awaitable<void> stand_still(detail::host& host)
+{
+    while (clock::now() < host.faults_.paused_until_)
+    {
+        boost::asio::steady_timer end{host.context_, host.faults_.paused_until_};
+        co_await end.async_wait(boost::asio::use_awaitable);
+    }
+}
+
 awaitable<void> run_plain(detail::host& host, server_state& server, exchange& current)
 {
     co_await pause(host, server.settings_.duration_);
+    co_await stand_still(host);
     note(server, current.call(), "done");
     const auto head = answer_head(server, current.call());
     co_await current.reply_bytes(http_status::ok, "text/plain", plain_answer_to(current.call().body_), head);
@@ -99,15 +110,19 @@
     const auto silent_after = disturbed ? host.faults_.stream_.silent_after_ : std::nullopt;
     const auto head = answer_head(server, current.call());
     co_await pause(host, server.settings_.duration_);
-    const std::function<void()> nothing_to_do = [] {
+    co_await stand_still(host);
+    const std::function<void()> note_gone = [&server, call = current.call()] {
+        note(server, call, "left");
     };
-    co_await current.begin_stream("text/event-stream", nothing_to_do, head);
+    co_await current.begin_stream("text/event-stream", note_gone, head);
     for (int number = first; number <= server.settings_.events_; ++number)
     {
         const auto event = event_of(current.call().body_, number);
+        co_await stand_still(host);
         if (cut_after && static_cast<std::uint64_t>(number) > cut_after->get())
         {
             // Ends in the middle of an event.
+            note(server, current.call(), "cut");
             co_await current.send(event.substr(0, event.size() / 2));
             current.cut();
             co_return;
@@ -217,7 +232,7 @@
         co_await refuse_unrun(server, current, http_status::bad_request, "no_id");
         co_return;
     }
-    if (server.running_ >= server.settings_.slots_ + queue_slots)
+    if (host.faults_.full_ || server.running_ >= server.settings_.slots_ + queue_slots)
     {
         co_await refuse_unrun(server, current, http_status::unavailable, "full");
         co_return;
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -178,3 +178,106 @@
     notes.push_back(note_of("run"));
     CHECK(check_repeats(seen_of(request, notes), bounds).size() == 1);
 }
+
+namespace
+{
+
+/// A stream that was passed on and whose connection was closed 500 ms after it was sent, 400 ms after a SIGTERM.
+observations cut_stream()
+{
+    auto request = request_of(call_kind::resumable, 200);
+    request.whole_ = false;
+    request.last_byte_at_ = start;
+    request.ended_at_ = start + milliseconds{500};
+    auto seen = seen_of(request, {note_of("run")});
+    seen.stops_ = {{0, start + milliseconds{100}, start + std::chrono::seconds{3}, 0}};
+    return seen;
+}
+
+}  // namespace
+
+TEST_CASE("a stream that ends without a whole answer around a planned stop is found")
+{
+    auto seen = cut_stream();
+    CHECK(check_planned_stop(seen, bounds).size() == 1);
+    CHECK(count_requests_in_stops(seen, bounds) == 1);
+    // The VM gave up a silent server: the server saw its connection end and did not break off.
+    seen.notes_.push_back(note_of("left", milliseconds{499}));
+    CHECK(check_planned_stop(seen, bounds).size() == 1);
+    // A server that rejected the request got it, too.
+    seen.notes_ = {note_of("refused")};
+    CHECK(check_planned_stop(seen, bounds).size() == 1);
+    // Read, but not passed on.
+    seen.notes_.clear();
+    CHECK(check_planned_stop(seen, bounds).size() == 1);
+    // Up to 1 s after the grace period.
+    seen = cut_stream();
+    seen.stops_[0].begun_at_ = start - bounds.stop_ - bounds.after_stop_ + milliseconds{500};
+    CHECK(check_planned_stop(seen, bounds).size() == 1);
+    // A reload, for requests sent up to 2 s after it.
+    seen.stops_.clear();
+    seen.reloads_ = {{0, start - bounds.configuration_}};
+    CHECK(check_planned_stop(seen, bounds).size() == 1);
+}
+
+TEST_CASE("a stream that the planned stop may cut is not counted")
+{
+    auto seen = cut_stream();
+    seen.notes_.push_back(note_of("cut", milliseconds{499}));
+    CHECK(check_planned_stop(seen, bounds).empty());
+    seen = cut_stream();
+    seen.requests_[0].left_ = true;
+    CHECK(check_planned_stop(seen, bounds).empty());
+    seen = cut_stream();
+    seen.requests_[0].whole_ = true;
+    CHECK(check_planned_stop(seen, bounds).empty());
+    seen = cut_stream();
+    seen.requests_[0].ended_at_ = start + bounds.route_limit_;
+    CHECK(check_planned_stop(seen, bounds).empty());
+    seen = cut_stream();
+    seen.disruptions_ = {{start - bounds.stable_, start - bounds.stable_, disrupted_part::vm, 0}};
+    CHECK(check_planned_stop(seen, bounds).empty());
+    seen.disruptions_[0].vm_ = 1;
+    CHECK(check_planned_stop(seen, bounds).size() == 1);
+    // It crossed the close of its connection: not passed on, within 200 ms.
+    seen = cut_stream();
+    seen.notes_.clear();
+    seen.requests_[0].ended_at_ = start + bounds.loss_slack_;
+    CHECK(check_planned_stop(seen, bounds).empty());
+    seen = cut_stream();
+    seen.stops_[0].vm_ = 1;
+    CHECK(check_planned_stop(seen, bounds).empty());
+    CHECK(count_requests_in_stops(seen, bounds) == 0);
+    seen = cut_stream();
+    seen.stops_[0].begun_at_ = start - bounds.stop_ - bounds.after_stop_ + milliseconds{499};
+    CHECK(check_planned_stop(seen, bounds).empty());
+    seen.stops_.clear();
+    seen.reloads_ = {{0, start - bounds.configuration_ - milliseconds{1}}};
+    CHECK(check_planned_stop(seen, bounds).empty());
+}
+
+TEST_CASE("work in the last sixth of the grace period excuses a request that was sent early in the stop")
+{
+    const auto last_sixth = bounds.stop_ - bounds.stop_ / 6;
+    auto seen = cut_stream();
+    seen.requests_[0].ended_at_ = start + last_sixth;
+    seen.stops_[0].begun_at_ = start;
+    // The route's limit is longer than the grace period here.
+    auto long_route = bounds;
+    long_route.route_limit_ = milliseconds{10'000};
+    CHECK(check_planned_stop(seen, long_route).empty());
+    seen.notes_.push_back(note_of("left", last_sixth));
+    CHECK(check_planned_stop(seen, long_route).empty());
+    // No server was at work on it any more.
+    seen.notes_.back() = note_of("left", last_sixth - milliseconds{1});
+    CHECK(check_planned_stop(seen, long_route).size() == 1);
+    seen.notes_.pop_back();
+    seen.requests_[0].ended_at_ = start + last_sixth - milliseconds{1};
+    CHECK(check_planned_stop(seen, long_route).size() == 1);
+    // Sent later than 3 s after the signal.
+    seen.requests_[0].ended_at_ = start + bounds.stop_ - bounds.early_in_stop_;
+    seen.stops_[0].begun_at_ = start - bounds.early_in_stop_;
+    CHECK(check_planned_stop(seen, long_route).empty());
+    seen.stops_[0].begun_at_ = start - bounds.early_in_stop_ - milliseconds{1};
+    CHECK(check_planned_stop(seen, long_route).size() == 1);
+}
