--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -155,10 +155,10 @@
               << result.findings_.size() << " promises not kept" << std::endl;
     if (settings.planned_stops_)
     {
-        const auto in_stops = count_requests_in_stops(all.seen_, settings.bounds_);
+        const auto around = count_requests_in_planned_work(all.seen_, settings.bounds_);
         const auto lost = std::ranges::count(result.findings_, "planned_stop", &finding::promise_);
-        std::cout << "in stops: " << in_stops << " requests, " << lost << " lost, "
-                  << static_cast<double>(lost) * 1000.0 / static_cast<double>(std::max<std::size_t>(in_stops, 1))
+        std::cout << "around planned work: " << around << " requests, " << lost << " lost, "
+                  << static_cast<double>(lost) * 1000.0 / static_cast<double>(std::max<std::size_t>(around, 1))
                   << " of 1000" << std::endl;
     }
     const bool kept = result.finished_ && result.findings_.empty();
--- a/soak/process/promises.cpp
+++ b/soak/process/promises.cpp
@@ -117,9 +117,9 @@
     return is_around(request, stop, bounds) && *request.ended_at_ <= stop.begun_at_ + bounds.stop_ + bounds.after_stop_;
 }
 
-bool is_cut_around(const sent_request& request, const planned_reload& reload, const promise_bounds& bounds)
+bool is_around(const sent_request& request, const planned_reload& reload, const promise_bounds& bounds)
 {
-    return request.vm_ == reload.vm_ && request.sent_at_ <= reload.at_ + bounds.configuration_ &&
+    return request.vm_ == reload.vm_ && request.sent_at_ <= reload.at_ + bounds.configuration_ && request.ended_at_ &&
            *request.ended_at_ >= reload.at_;
 }
 
@@ -258,15 +258,19 @@
         {
             return;
         }
-        const auto is_lost_in = [&](const planned_stop& stop) {
-            const bool excused =
-                request.sent_at_ <= stop.begun_at_ + bounds.early_in_stop_ &&
-                is_at_work_after(request, seen_by_servers, stop.begun_at_ + bounds.stop_ - bounds.stop_ / 6);
-            return is_cut_around(request, stop, bounds) && !excused;
+        // This excuse holds for a reload of the stopping process, too.
+        const auto is_excused_by = [&](const planned_stop& stop) {
+            return is_cut_around(request, stop, bounds) && request.sent_at_ <= stop.begun_at_ + bounds.early_in_stop_ &&
+                   is_at_work_after(request, seen_by_servers, stop.begun_at_ + bounds.stop_ - bounds.stop_ / 6);
         };
-        const auto stop = std::ranges::find_if(seen.stops_, is_lost_in);
+        if (std::ranges::any_of(seen.stops_, is_excused_by))
+        {
+            return;
+        }
+        const auto stop = std::ranges::find_if(
+            seen.stops_, [&](const planned_stop& each) { return is_cut_around(request, each, bounds); });
         const auto reload = std::ranges::find_if(
-            seen.reloads_, [&](const planned_reload& each) { return is_cut_around(request, each, bounds); });
+            seen.reloads_, [&](const planned_reload& each) { return is_around(request, each, bounds); });
         if (stop == seen.stops_.end() && reload == seen.reloads_.end())
         {
             return;
@@ -283,11 +287,13 @@
     return found;
 }
 
-std::size_t count_requests_in_stops(const observations& seen, const promise_bounds& bounds)
+std::size_t count_requests_in_planned_work(const observations& seen, const promise_bounds& bounds)
 {
     return static_cast<std::size_t>(std::ranges::count_if(seen.requests_, [&](const sent_request& request) {
-        return std::ranges::any_of(seen.stops_,
-                                   [&](const planned_stop& stop) { return is_around(request, stop, bounds); });
+        const auto is_open_around = [&](const auto& work) {
+            return is_around(request, work, bounds);
+        };
+        return std::ranges::any_of(seen.stops_, is_open_around) || std::ranges::any_of(seen.reloads_, is_open_around);
     }));
 }
 
--- a/soak/process/promises.hpp
+++ b/soak/process/promises.hpp
@@ -65,8 +65,8 @@
 /// early in the stop are excuses. A silent server is none.
 [[nodiscard]] std::vector<finding> check_planned_stop(const observations& seen, const promise_bounds& bounds);
 
-/// @brief The requests that were open at a VM around one of its planned stops.
-[[nodiscard]] std::size_t count_requests_in_stops(const observations& seen, const promise_bounds& bounds);
+/// @brief The requests that were open at a VM around one of its planned stops or reloads.
+[[nodiscard]] std::size_t count_requests_in_planned_work(const observations& seen, const promise_bounds& bounds);
 
 /// @brief Keys that were taken away, routes that were added or removed and servers that leave are respected in time.
 [[nodiscard]] std::vector<finding> check_changes(const observations& seen, const promise_bounds& bounds);
