--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -28,6 +28,7 @@
 constexpr std::string_view id_field = "id:";
 /// A caller that does not accept a chunk within this time has stopped reading.
 constexpr milliseconds caller_write_timeout{4000};
+
 /// The value of the last `id` field in @a events, which contains only complete events.
 /// @return nothing when there is no such field or its value is not a number
 std::optional<std::uint64_t> last_event_id(std::string_view events)
