--- a/tests/gateway/endless_answers_test.cpp
+++ b/tests/gateway/endless_answers_test.cpp
@@ -187,7 +187,7 @@
     // The route's time limit is 6 s; the answer of a caller that has left must end long before.
     const auto kind = GENERATE(request_kind::idempotent, request_kind::streaming, request_kind::non_idempotent);
     const auto pause = GENERATE(milliseconds{0}, milliseconds{20});
-    const auto endless = kind == request_kind::streaming
+    auto endless = kind == request_kind::streaming
                              ? endless_answer(stream_events(1, 2), stream_events(3, 3, false), pause)
                              : endless_answer(plain_head + "Content-Length: 100000000\r\n\r\n", "x", pause);
     gateway_fixture gateway;
@@ -208,7 +208,7 @@
 TEST_CASE("an answer ends by the time limit when a further request hides that the caller has left")
 {
     const auto kind = GENERATE(request_kind::idempotent, request_kind::streaming);
-    const auto endless = kind == request_kind::streaming
+    auto endless = kind == request_kind::streaming
                              ? endless_answer(stream_events(1, 2), stream_events(3, 3, false))
                              : endless_answer(plain_head + "Content-Length: 100000000\r\n\r\n", "x", milliseconds{20});
     gateway_fixture gateway;
@@ -280,7 +280,7 @@
 {
     const std::string filler(4096, 'x');
     const std::string chunked{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"};
-    const auto endless = GENERATE_COPY(
+    auto endless = GENERATE_COPY(
         endless_answer("", interim_answer), endless_answer("", repeated(interim_answer, 4096)), endless_answer("", "X"),
         endless_answer("HTTP/1.0 200 OK\r\n\r\n", filler), endless_answer(chunked, "1\r\nx\r\n"),
         endless_answer(chunked + "FFFFFFFF\r\n", filler), endless_answer(chunked + "0\r\n", "X-Trailer: 1\r\n"),
--- a/tests/platform/endless_store_answers_test.cpp
+++ b/tests/platform/endless_store_answers_test.cpp
@@ -77,7 +77,7 @@
 TEST_CASE("a call to the store ends when its answer does not")
 {
     const std::string filler(65536, 'x');
-    const auto endless = GENERATE_COPY(
+    auto endless = GENERATE_COPY(
         scripted_response{"HTTP/1.1 200 OK\r\nContent-Length: 100000000000\r\n\r\n", false, filler},
         scripted_response{"HTTP/1.0 200 OK\r\n\r\n", false, filler},
         scripted_response{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nFFFFFFFF\r\n", false, filler},
