--- a/tests/gateway/endless_answers_test.cpp
+++ b/tests/gateway/endless_answers_test.cpp
@@ -188,8 +188,8 @@
     const auto kind = GENERATE(request_kind::idempotent, request_kind::streaming, request_kind::non_idempotent);
     const auto pause = GENERATE(milliseconds{0}, milliseconds{20});
     auto endless = kind == request_kind::streaming
-                             ? endless_answer(stream_events(1, 2), stream_events(3, 3, false), pause)
-                             : endless_answer(plain_head + "Content-Length: 100000000\r\n\r\n", "x", pause);
+                       ? endless_answer(stream_events(1, 2), stream_events(3, 3, false), pause)
+                       : endless_answer(plain_head + "Content-Length: 100000000\r\n\r\n", "x", pause);
     gateway_fixture gateway;
     gateway.activate_route(tested_route(kind));
     gateway.add_server([&endless](const auto&) { return endless; });
@@ -209,8 +209,8 @@
 {
     const auto kind = GENERATE(request_kind::idempotent, request_kind::streaming);
     auto endless = kind == request_kind::streaming
-                             ? endless_answer(stream_events(1, 2), stream_events(3, 3, false))
-                             : endless_answer(plain_head + "Content-Length: 100000000\r\n\r\n", "x", milliseconds{20});
+                       ? endless_answer(stream_events(1, 2), stream_events(3, 3, false))
+                       : endless_answer(plain_head + "Content-Length: 100000000\r\n\r\n", "x", milliseconds{20});
     gateway_fixture gateway;
     auto matched = tested_route(kind);
     matched.timeout_ = milliseconds{2000};
