Wake VMs that sleep between failed reads when others have news

Cause: a VM that two others precede in the order of readers slept for up to 4 s after a failed read. Neither reports of a newer version nor the return of the store ended the sleep.

The wait now ends when other VMs have reported a newer version or a read of their own, or when the VM becomes a reader itself, and it is never longer than the data age at which the VM reads anyway.

--- a/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
@@ -38,6 +38,12 @@
 /// @param bound age that the data must not exceed
 [[nodiscard]] milliseconds log_poll_delay(std::size_t position, milliseconds bound);
 
+/// @brief Longest delay between failed reads of the log by the VM at @a position. The first two, which have to notice
+/// when the log is back, wait for at most @a reader_limit. The others follow the reports of these two, but they are
+/// never asleep for longer than a VM may go without reading: the log may be back for them alone.
+/// @param bound age that the data must not exceed
+[[nodiscard]] milliseconds max_failed_read_delay(std::size_t position, milliseconds reader_limit, milliseconds bound);
+
 /// @brief Splits @a update into parts of at most @a max_changes changes with contiguous offset ranges. Only the last
 /// part has the age of the server list, because the others do not reach its end.
 [[nodiscard]] std::vector<log_update> split_log_update(const log_update& update, std::size_t max_changes);
--- a/packages/decisions/src/connection/log_update.cpp
+++ b/packages/decisions/src/connection/log_update.cpp
@@ -20,6 +20,8 @@
 constexpr double max_deferral_share = 0.9;
 /// Staggers the other VMs, so that a fleet that lost its readers does not read all at once.
 constexpr milliseconds poll_delay_step{20};
+/// VMs that read the log for the others.
+constexpr std::size_t reader_count = 2;
 
 milliseconds share_of(milliseconds bound, double share)
 {
@@ -38,6 +40,12 @@
     return std::min(share_of(bound, max_poll_share), share_of(bound, second_poll_share) + poll_delay_step * steps);
 }
 
+milliseconds max_failed_read_delay(std::size_t position, milliseconds reader_limit, milliseconds bound)
+{
+    const auto poll_delay = log_poll_delay(position, bound);
+    return position < reader_count ? std::min(reader_limit, poll_delay) : poll_delay;
+}
+
 time_point removal_due(time_point learned_at, time_point grace_end, milliseconds bound)
 {
     return std::min(grace_end, learned_at + share_of(bound, max_deferral_share));
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -4,6 +4,8 @@
 #include <ranges>
 #include <set>
 
+#include "cornelstall/gateway/process/read_backoff.hpp"
+
 namespace cornelstall
 {
 
@@ -21,29 +23,23 @@
 constexpr milliseconds initial_backoff{200};
 /// Longest delay between failed reads of the first two readers, which have to notice when the log is back.
 constexpr milliseconds max_reader_backoff{1000};
-/// Longest delay of the other VMs, which follow the reports of the readers.
-constexpr milliseconds max_follower_backoff{4000};
-
-milliseconds longest_backoff(const gateway_state& state)
-{
-    return own_reader_position(state) < reader_count ? max_reader_backoff : max_follower_backoff;
-}
 
 struct follower
 {
     gateway_state& state_;
     record_log log_;
     server_decoder decode_;
-    std::set<std::string> unreadable_;        ///< keys whose newest entry describes no usable server
-    milliseconds backoff_ = initial_backoff;  ///< delay after the next failed read
+    std::set<std::string> unreadable_ = {};  ///< keys whose newest entry describes no usable server
+    read_backoff backoff_{initial_backoff, max_reader_backoff};
 };
 
-/// Waits after a failed read, longer after each further one.
+/// Waits after a failed read. Reports of other VMs that have read the list since end the wait.
 task<> back_off(follower& self)
 {
-    const auto delay = std::min(self.backoff_, longest_backoff(self.state_));
-    self.backoff_ = 2 * delay;
-    co_await sleep_for(delay);
+    const std::function<bool()> is_over = [&state = self.state_] {
+        return !is_read_due(state, state.server_list_.confirmed_at_);
+    };
+    co_await wait_after_failed_read(self.state_, self.backoff_, is_over);
 }
 
 /// Keys that are remembered as unreadable at most; entries of further keys are not logged.
@@ -133,7 +129,7 @@
         update_reachability(self, page.reached_);
         if (page.reached_)
         {
-            self.backoff_ = initial_backoff;
+            reset(self.backoff_);
             co_return page;
         }
         co_await back_off(self);
@@ -153,7 +149,7 @@
         co_await back_off(self);
         co_return true;
     }
-    self.backoff_ = initial_backoff;
+    reset(self.backoff_);
     if (page.expired_)
     {
         co_return false;
@@ -170,7 +166,7 @@
 
 task<> follow_servers(gateway_state& state, record_log log, server_decoder decode)
 {
-    follower self{state, std::move(log), std::move(decode), {}, initial_backoff};
+    follower self{state, std::move(log), std::move(decode)};
     auto& list = state.server_list_;
     while (true)
     {
--- a/packages/gateway/src/version/follow_table.cpp
+++ b/packages/gateway/src/version/follow_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cornelstall/gateway/connection/http_client.hpp"
+#include "cornelstall/gateway/process/read_backoff.hpp"
 #include "cornelstall/wire.hpp"
 
 namespace cornelstall
@@ -20,8 +21,6 @@
 constexpr milliseconds initial_backoff{100};
 /// Longest delay between failed reads of the first two readers, which have to notice when the log is back.
 constexpr milliseconds max_reader_backoff{500};
-/// Longest delay of the other VMs, which follow the reports of the readers.
-constexpr milliseconds max_follower_backoff{4000};
 /// Transfers from other VMs that may fail before a VM reads a new version from the log itself.
 constexpr int max_failed_transfers = 4;
 /// A VM on the slowest link needs about 0.2 s for the largest documents.
@@ -36,6 +35,7 @@
     gateway_state& state_;
     record_log log_;
     table_decoder decode_;
+    read_backoff backoff_{initial_backoff, max_reader_backoff};
     bool log_unreachable_ = false;
     int failed_transfers_ = 0;  ///< since the last new version
 };
@@ -64,11 +64,6 @@
     }
 }
 
-milliseconds longest_backoff(const gateway_state& state)
-{
-    return own_reader_position(state) < 2 ? max_reader_backoff : max_follower_backoff;
-}
-
 double draw(gateway_state& state)
 {
     return std::uniform_real_distribution<double>(0.0, 1.0)(state.random_);
@@ -158,10 +153,20 @@
                                        std::chrono::steady_clock::now());
 }
 
+/// Waits after a read that failed or that did not show the newest version. Reports of other VMs end the wait: those
+/// that have read the log since make the read needless, and a newer version can be got from the VM that has it.
+task<> back_off(follower& self)
+{
+    const auto known = newest_peer_version(self.state_.peers_);
+    const std::function<bool()> is_over = [&state = self.state_, known] {
+        return newest_peer_version(state.peers_) > known || !is_read_due(state, state.table_confirmed_at_);
+    };
+    co_await wait_after_failed_read(self.state_, self.backoff_, is_over);
+}
+
 task<> follow_changes(follower& self, log_offset next)
 {
     auto& state = self.state_;
-    auto backoff = initial_backoff;
     while (true)
     {
         const bool long_polls = is_first_reader(state);
@@ -195,15 +200,14 @@
         {
             apply_page(self, page, requested_at, poll_timeout);
             next = page.next_;
-            backoff = initial_backoff;
+            reset(self.backoff_);
             self.failed_transfers_ = 0;
         }
         if (!page.reached_ || is_behind_peers(state))
         {
             self.failed_transfers_ = 0;
             // Either the log is unreachable, or another VM has a version that was appended after this VM's read.
-            co_await sleep_for(backoff);
-            backoff = std::min(backoff * 2, longest_backoff(state));
+            co_await back_off(self);
         }
     }
 }
@@ -213,7 +217,6 @@
 task<> follow_table(gateway_state& state, record_log log, table_decoder decode)
 {
     follower self{state, std::move(log), std::move(decode)};
-    auto backoff = initial_backoff;
     while (true)
     {
         const auto requested_at = boot_time();
@@ -221,11 +224,10 @@
         update_reachability(self, full_read.reached_);
         if (!full_read.reached_)
         {
-            co_await sleep_for(backoff);
-            backoff = std::min(backoff * 2, longest_backoff(state));
+            co_await back_off(self);
             continue;
         }
-        backoff = initial_backoff;
+        reset(self.backoff_);
         std::ranges::for_each(full_read.records_, [&self](const keyed_record& record) { apply_record(self, record); });
         confirm_table_read(state, requested_at);
         state.schedule_load_report_();
--- a/tests/decisions/log_update_test.cpp
+++ b/tests/decisions/log_update_test.cpp
@@ -128,3 +128,18 @@
     }
     CHECK(server.slowdown_ == 1.0);
 }
+
+// Guards against a VM that sleeps through the return of the log and serves old data for longer than its bound.
+TEST_CASE("the delay between failed reads is shorter than the bound on the age of the data, for each reader")
+{
+    constexpr milliseconds reader_limit{500};
+    for (const auto bound : {milliseconds{500}, milliseconds{2000}, milliseconds{4000}})
+    {
+        for (std::size_t position = 0; position < 300; ++position)
+        {
+            CHECK(max_failed_read_delay(position, reader_limit, bound) <= bound * 3 / 4);
+        }
+        CHECK(max_failed_read_delay(0, reader_limit, bound) <= reader_limit);
+        CHECK(max_failed_read_delay(1, reader_limit, bound) <= reader_limit);
+    }
+}
--- a/tests/gateway/follow_table_test.cpp
+++ b/tests/gateway/follow_table_test.cpp
@@ -71,8 +71,8 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-/// Makes "vm-0" known, which reads the log before this VM and has version 2.
-void add_ahead_peer(gateway_fixture& gateway, const fake_server& peer_server)
+/// Makes VMs known that read the log before this VM and have @a version.
+void add_ahead_peers(gateway_fixture& gateway, const fake_server& peer_server, configuration_version version)
 {
     auto& state = gateway.state_;
     state.settings_.metrics_port_ = parse_endpoint(peer_server.address())->port();
@@ -80,7 +80,7 @@
     {
         auto& peer = state.peers_.peers_[vm_id{name}];
         peer.address_ = socket_address{"127.0.0.1:1"};
-        peer.version_ = configuration_version{2};
+        peer.version_ = version;
         peer.heard_at_ = std::chrono::steady_clock::now() + std::chrono::seconds{15};
         peer.log_reachable_ = true;
     }
@@ -101,7 +101,7 @@
     spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, topic.open(), decode_version));
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_ != nullptr; }));
     topic.reachable_ = false;
-    add_ahead_peer(gateway, *peer_server);
+    add_ahead_peers(gateway, *peer_server, configuration_version{2});
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_->version_ == configuration_version{2}; }));
     CHECK(peer_server->received_requests_.size() == 1);
 }
@@ -116,7 +116,35 @@
     spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, topic.open(), decode_version));
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_ != nullptr; }));
     topic.record_ = {"config", "2", false, log_offset{1}};
-    add_ahead_peer(gateway, *peer_server);
+    add_ahead_peers(gateway, *peer_server, configuration_version{2});
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_->version_ == configuration_version{2}; }));
     CHECK(peer_server->received_requests_.size() == 4);
 }
+
+// Guards against a VM that sleeps between failed reads and serves an old version meanwhile, although other VMs have
+// reported a newer one.
+TEST_CASE("a VM that waits after failed reads gets a version that other VMs report meanwhile")
+{
+    gateway_fixture gateway;
+    fake_configuration_topic topic;
+    const auto peer_server = gateway.add_server([](const auto&) {
+        return scripted_response{
+            response_with(encode_document({configuration_version{2}, log_offset{1}, "config", "2"})), false};
+    });
+    spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, topic.open(), decode_version));
+    REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_ != nullptr; }));
+    topic.reachable_ = false;
+    add_ahead_peers(gateway, *peer_server, configuration_version{1});
+    // By then the delay after a failed read is 800 ms.
+    constexpr int reads_until_long_delay = 6;
+    REQUIRE(gateway.run_until([&topic] { return topic.reads_ >= reads_until_long_delay; }));
+    gateway.io_.poll();
+    bool half_of_delay_passed = false;
+    boost::asio::steady_timer half_of_delay(gateway.state_.executor_, milliseconds{400});
+    half_of_delay.async_wait(
+        [&half_of_delay_passed](const boost::system::error_code&) { half_of_delay_passed = true; });
+    add_ahead_peers(gateway, *peer_server, configuration_version{2});
+    REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_->version_ == configuration_version{2}; }));
+    CHECK_FALSE(half_of_delay_passed);
+    CHECK(peer_server->received_requests_.size() == 1);
+}
