--- a/soak/process/deployment.cpp
+++ b/soak/process/deployment.cpp
@@ -132,7 +132,8 @@
          << "\nstrict_revoke = true\nrevoke_ms = " << bounds.revocation_.count()
          << "\nretry_budget_ratio = " << bounds.repeat_ratio_ << "\nretry_budget_extra = " << bounds.repeat_extra_
          << "\nbudget_window_s = " << bounds.repeat_window_.count() / 1000 << "\n[platform]\naddress = \""
-         << vm.store_->address() << "\"\n";
+         << vm.store_->address() << "\"\n"
+         << all.settings_.added_tables_;
 }
 
 std::filesystem::path journal_of(const deployment& all, std::size_t index)
--- a/soak/process/deployment.hpp
+++ b/soak/process/deployment.hpp
@@ -25,6 +25,7 @@
     milliseconds stream_target_{250};  ///< target of the first event of a stream
     milliseconds idle_limit_{15'000};  ///< of callers' connections
     bool planned_stops_ = false;       ///< planned work and slow servers only
+    std::string added_tables_;         ///< TOML tables added to the settings file of each VM
     promise_bounds bounds_;
 };
 
