Bound the memory and the connections that callers can take

Cause: bodies were bounded one by one only, in strings that double as they grow, and each was copied for each send; answers that callers do not read left the budget once they were read from the server; nothing bounded the number of connections.

A body is now held once, in blocks that one budget of the process grants, until its request has ended. When the budget is used up, reading pauses, and stalled bodies are refused, those that hold most without progress first (503 memory_exhausted, which is true because nothing was passed on). A quarter of it is kept for bodies of usual sizes. Answers count until their caller has read them. Connections are bounded by descriptors and memory.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -9,6 +9,8 @@
 #include "cornelstall/decisions/connection/log_update.hpp"
 #include "cornelstall/decisions/connection/peer_delta.hpp"
 #include "cornelstall/decisions/connection/transit_time.hpp"
+#include "cornelstall/decisions/process/body_memory.hpp"
+#include "cornelstall/decisions/process/caller_connections.hpp"
 #include "cornelstall/decisions/process/cells.hpp"
 #include "cornelstall/decisions/process/claims.hpp"
 #include "cornelstall/decisions/process/data_centres.hpp"
--- a/packages/gateway/include/cornelstall/gateway/process/buffer_budget.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/buffer_budget.hpp
@@ -34,7 +34,7 @@
     [[nodiscard]] bool grow_to(std::size_t bytes)
     {
         /// Every answer may use this much without drawing on the budget.
-        constexpr std::size_t free_bytes = 65'536;
+        constexpr std::size_t free_bytes = 16'384;
         const byte_count needed{bytes > free_bytes ? bytes - free_bytes : 0};
         if (needed <= held_)
         {
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_settings.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_settings.hpp
@@ -25,6 +25,8 @@
     /// A reservation of engine memory ends this long after it was last made or renewed.
     milliseconds memory_reservation_timeout_{3400};
     byte_count answer_buffer_limit_{16ULL * 1024 * 1024};  ///< memory for buffered answers of all requests
+    byte_count body_memory_limit_{64ULL * 1024 * 1024};    ///< memory for the bodies of all requests
+    std::size_t max_caller_connections_ = 1024;            ///< connections of callers that are open at once
     milliseconds staleness_bound_{2000};                   ///< longest age of the server list and of the configuration
     bool first_start_ = true;                              ///< false when this VM may have announced its address before
     milliseconds stop_limit_{8000};                        ///< the process is killed this long after SIGTERM
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -19,6 +20,7 @@
 namespace cornelstall
 {
 
+struct arriving_body;
 struct exchange;
 
 /// @brief The state of one gateway process. Accessed from the Asio thread only.
@@ -59,12 +61,15 @@
     };
 
     buffer_budget answer_buffers_;
+    body_memory body_memory_;
+    std::map<body_id, arriving_body*> arriving_bodies_;  ///< those that have not arrived completely
+    caller_connections caller_connections_;              ///< a stop waits for those with a request under way
+    std::map<connection_id, std::weak_ptr<caller_socket>> caller_sockets_;
     loop_lateness loop_lateness_;
     bool stopping_ = false;                         ///< SIGTERM or SIGINT was received
     time_point listens_until_ = time_point::max();  ///< when the listening socket was closed
     time_point end_requests_at_;  ///< while stopping: requests without a begun answer get their final answer then
     std::set<exchange*> open_exchanges_;  ///< requests under way
-    std::size_t open_callers_ = 0;        ///< callers' connections; a stop waits for those with a request under way
     std::size_t open_requests_ = 0;       ///< a stop waits for them to finish
     std::size_t open_leases_ = 0;         ///< unreleased reservations of engine memory; a stop waits for their release
     std::set<std::shared_ptr<caller_socket>> idle_callers_;
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -11,6 +11,7 @@
 #include "cornelstall/gateway/connection/backend_socket.hpp"
 #include "cornelstall/gateway/process/gateway_state.hpp"
 #include "cornelstall/gateway/request/memory_lease.hpp"
+#include "cornelstall/gateway/request/request_body.hpp"
 
 namespace cornelstall
 {
@@ -43,13 +44,15 @@
 /// @brief One caller's request and its state until the answer has been sent.
 struct exchange
 {
-    exchange(gateway_state& state, std::shared_ptr<caller_socket> caller, http_request request)
-        : state_(state), caller_(std::move(caller)), request_(std::move(request))
+    exchange(gateway_state& state, std::shared_ptr<caller_socket> caller, http_request request,
+             std::shared_ptr<const request_body> body)
+        : state_(state), caller_(std::move(caller)), request_(std::move(request)), body_(std::move(body))
     {}
 
     gateway_state& state_;
     std::shared_ptr<caller_socket> caller_;
-    http_request request_;
+    http_request request_;  ///< without the body
+    std::shared_ptr<const request_body> body_;
     caller_request parsed_request_;
     std::shared_ptr<const routing_table> table_;
     const route* route_ = nullptr;
@@ -80,7 +83,8 @@
     bool refused_for_stop_ = false;  ///< its answer would not end before the process does
     bool late_ = false;              ///< the latency target or the limit of an event gap has been missed
     unsigned answer_status_ = 0;
-    std::optional<http_response> error_answer_;  ///< a server's error response; sent if no later send succeeds
+    std::optional<http_response> error_answer_;         ///< a server's error response; sent if no later send succeeds
+    std::shared_ptr<buffer_share> error_answer_share_;  ///< memory of `error_answer_`
 };
 
 /// @brief Result of one send to a backend server.
@@ -97,7 +101,8 @@
 /// @brief Serves one request received from @a caller at @a arrived.
 /// @return true when the caller's connection can take another request
 [[nodiscard]] task<bool> serve_request(gateway_state& state, std::shared_ptr<caller_socket> caller,
-                                       http_request request, time_point arrived);
+                                       http_request request, std::shared_ptr<const request_body> body,
+                                       time_point arrived);
 
 /// @brief Ends the requests that have no begun answer, so that their callers get a final answer before the process
 /// ends.
@@ -152,6 +157,12 @@
 /// @brief Sends a complete answer to the caller.
 [[nodiscard]] task<send_result> deliver(exchange& current, http_response answer);
 
+/// @brief An answer that the gateway itself generates.
+/// @param reason id of the reason, sent in the body
+/// @param retry_after value of the Retry-After field, if any
+[[nodiscard]] http_response make_gateway_answer(gateway_state& state, const caller_request& request, unsigned status,
+                                                const std::string& reason, std::optional<milliseconds> retry_after);
+
 /// @brief Sends the caller an answer that the gateway itself generates.
 /// @param reason id of the reason, sent in the body
 /// @param retry_after value of the Retry-After field, if any
--- a/packages/gateway/src/connection/caller_session.cpp
+++ b/packages/gateway/src/connection/caller_session.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "connection/body_reader.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
 
 namespace cornelstall
@@ -17,10 +18,11 @@
 using boost::asio::redirect_error;
 using boost::asio::use_awaitable;
 using boost::asio::ip::tcp;
-using request_parser = http::request_parser<http::string_body>;
 
 constexpr event_kind message_refused{1020, "caller_message_refused"};
+constexpr event_kind body_refused{1035, "caller_body_refused"};
 constexpr event_kind accept_failed{2030, "accept_failed"};
+constexpr event_kind connection_closed{2038, "caller_connection_closed"};
 
 /// Time for which data from the caller is read and discarded before its connection is closed. Closing a connection that
 /// has unread data resets it, and the caller could lose the response.
@@ -31,7 +33,45 @@
 /// A caller whose message was refused and that does not read the refusal within this time is cut off.
 constexpr milliseconds refusal_write_timeout{1000};
 /// Buffer space beyond the header limit, for body bytes and pipelined requests that arrive with the header.
-constexpr std::size_t max_pipelined_bytes = 65536;
+constexpr std::size_t max_pipelined_bytes = 8192;
+/// A body that found no memory may come again after this time; stalled bodies are refused meanwhile.
+constexpr milliseconds memory_retry_after{1000};
+
+/// A request as it was received.
+struct received_request
+{
+    http_request head_;
+    std::shared_ptr<const request_body> body_;
+};
+
+/// Lists a caller's connection among those of the process for its own lifetime.
+class listed_connection
+{
+  public:
+    listed_connection(gateway_state& state, const std::shared_ptr<caller_socket>& caller)
+        : state_(state), id_(open_connection(state.caller_connections_, std::chrono::steady_clock::now()))
+    {
+        state_.caller_sockets_[id_] = caller;
+    }
+    listed_connection(const listed_connection&) = delete;
+    listed_connection& operator=(const listed_connection&) = delete;
+    listed_connection(listed_connection&&) = delete;
+    listed_connection& operator=(listed_connection&&) = delete;
+    ~listed_connection()
+    {
+        close_connection(state_.caller_connections_, id_);
+        state_.caller_sockets_.erase(id_);
+    }
+
+    void set_stage(connection_stage stage)
+    {
+        cornelstall::set_stage(state_.caller_connections_, id_, stage, std::chrono::steady_clock::now());
+    }
+
+  private:
+    gateway_state& state_;
+    connection_id id_;
+};
 
 caller_limits limits_of(const gateway_state& state)
 {
@@ -115,62 +155,111 @@
     close_socket(*caller);
 }
 
-/// Reads one request. Returns the parser by pointer because the parser can be neither moved nor copied.
-/// @return null when no complete request was received; the caller has then been sent an error response if possible
-task<std::unique_ptr<request_parser>> read_request(gateway_state& state, std::shared_ptr<caller_socket> caller)
+/// Refuses a request for whose body there is no memory. It has not been passed on.
+task<> refuse_for_memory(gateway_state& state, std::shared_ptr<caller_socket> caller, const http_request& head)
+{
+    const auto request = state.protocol_.read_request_(head);
+    state.metrics_.count("gateway_bodies_refused_total");
+    log_event(severity::info, body_refused, "the memory for bodies of requests is used up",
+              {{"request", request.id_.get()}, {"used", std::to_string(state.body_memory_.used_.get())}});
+    auto response = make_gateway_answer(state, request, 503, "memory_exhausted", memory_retry_after);
+    response.keep_alive(false);
+    response.prepare_payload();
+    boost::system::error_code ignored;  // the connection is closed next
+    set_close_deadline(*caller, std::chrono::steady_clock::now() + refusal_write_timeout);
+    co_await http::async_write(caller->socket_, response, redirect_error(use_awaitable, ignored));
+    clear_close_deadline(*caller);
+}
+
+/// Reads one request.
+/// @return nothing when no complete request was received; the caller has then been sent an error response if possible
+task<std::optional<received_request>> read_request(gateway_state& state, std::shared_ptr<caller_socket> caller)
 {
     const auto limits = limits_of(state);
-    auto parser = std::make_unique<request_parser>();
-    parser->header_limit(static_cast<std::uint32_t>(limits.header_bytes_.get()));
-    parser->body_limit(limits.body_bytes_.get());
+    caller_parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes_.get()));
+    parser.body_limit(limits.body_bytes_.get());
     set_close_deadline(*caller, std::chrono::steady_clock::now() + limits.header_timeout_);
     boost::system::error_code failed;
-    co_await http::async_read_header(caller->socket_, caller->buffer_, *parser, redirect_error(use_awaitable, failed));
-    if (!failed)
-    {
-        set_close_deadline(*caller, std::chrono::steady_clock::now() + limits.idle_timeout_);
-        co_await http::async_read(caller->socket_, caller->buffer_, *parser, redirect_error(use_awaitable, failed));
-    }
+    co_await http::async_read_header(caller->socket_, caller->buffer_, parser, redirect_error(use_awaitable, failed));
     if (failed)
     {
         co_await refuse_message(state, caller, failed);
-        co_return nullptr;
+        co_return std::nullopt;
+    }
+    arriving_body arriving(state, caller);
+    set_close_deadline(*caller, std::chrono::steady_clock::now() + limits.idle_timeout_);
+    const bool complete = co_await read_body(arriving, parser);
+    http_request head(std::move(parser.get().base()));
+    if (!complete && arriving.refused_)
+    {
+        co_await refuse_for_memory(state, caller, head);
+        co_return std::nullopt;
+    }
+    if (!complete)
+    {
+        co_await refuse_message(state, caller, arriving.failed_);
+        co_return std::nullopt;
     }
     clear_close_deadline(*caller);
-    co_return parser;
+    co_return received_request{std::move(head), arriving.body_};
 }
 
 task<> serve_caller(gateway_state& state, std::shared_ptr<caller_socket> caller,
-                    std::unique_ptr<scoped_count> /*open_caller*/)
+                    std::unique_ptr<listed_connection> listed)
 {
     set_tcp_options(caller->socket_);
     caller->buffer_.max_size(limits_of(state).header_bytes_.get() + max_pipelined_bytes);
     bool keep_open = true;
     while (keep_open)
     {
+        listed->set_stage(connection_stage::idle);
         const bool has_request = co_await wait_for_request(state, caller);
         if (!has_request)
         {
             break;
         }
         const auto arrived_at = std::chrono::steady_clock::now();
-        const auto parser = co_await read_request(state, caller);
-        if (!parser)
+        listed->set_stage(connection_stage::reading);
+        auto received = co_await read_request(state, caller);
+        if (!received)
         {
             break;
         }
-        keep_open = co_await serve_request(state, caller, parser->release(), arrived_at);
+        listed->set_stage(connection_stage::serving);
+        keep_open =
+            co_await serve_request(state, caller, std::move(received->head_), std::move(received->body_), arrived_at);
     }
     co_await lingering_close(caller);
 }
 
+/// Closes a connection when more are open than the process may have.
+void close_excess_connection(gateway_state& state)
+{
+    auto& all = state.caller_connections_;
+    const auto chosen = choose_connection_to_close(all, std::chrono::steady_clock::now());
+    if (!chosen)
+    {
+        return;
+    }
+    state.metrics_.count("gateway_connections_closed_total", {{"reason", "limit"}});
+    log_event(severity::info, connection_closed, "a caller's connection is closed because too many are open",
+              {{"open", std::to_string(all.connections_.size())}});
+    if (const auto caller = state.caller_sockets_[*chosen].lock())
+    {
+        close_socket(*caller);
+    }
+    close_connection(all, *chosen);
+}
+
 /// Starts the task of an accepted connection, which counts as open from now on: a stop must not overlook a task that
 /// has not run yet.
 void start_caller(gateway_state& state, tcp::socket socket)
 {
+    const auto caller = std::make_shared<caller_socket>(std::move(socket));
     spawn(state.executor_, "serve_caller",
-          serve_caller(state, std::make_shared<caller_socket>(std::move(socket)),
-                       std::make_unique<scoped_count>(state.open_callers_)));
+          serve_caller(state, caller, std::make_unique<listed_connection>(state, caller)));
+    close_excess_connection(state);
 }
 
 /// True when bytes of a request have arrived that no task has read yet.
--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -91,6 +91,9 @@
 void update_gauges(gateway_state& state)
 {
     state.metrics_.set("gateway_open_requests", {}, static_cast<double>(state.open_requests_));
+    state.metrics_.set("gateway_callers", {}, static_cast<double>(state.caller_connections_.connections_.size()));
+    state.metrics_.set("gateway_body_bytes", {}, static_cast<double>(state.body_memory_.used_.get()));
+    state.metrics_.set("gateway_answer_bytes", {}, static_cast<double>(state.answer_buffers_.used_.get()));
     state.metrics_.set("gateway_servers", {}, static_cast<double>(state.directory_.servers_.size()));
     state.metrics_.set("gateway_peers", {}, static_cast<double>(state.peers_.peers_.size()));
     state.metrics_.set("gateway_servers_limited", {}, static_cast<double>(state.directory_.limits_.limits_.size()));
@@ -134,7 +137,8 @@
 {
     const auto close_idle_at = clock::now() + first_request_wait;
     bool requests_ended = false;
-    while (state.open_callers_ + state.open_leases_ > 0 && (clock::now() < deadline || !requests_ended))
+    while (state.caller_connections_.connections_.size() + state.open_leases_ > 0 &&
+           (clock::now() < deadline || !requests_ended))
     {
         if (clock::now() >= state.end_requests_at_)
         {
@@ -195,7 +199,7 @@
     notify_capacity_changed(state.wait_queues_);
     log_event(severity::info, gateway_stopping, "stop signal received; no longer ready, finishing the open requests",
               {{"open_requests", std::to_string(state.open_requests_)},
-               {"open_callers", std::to_string(state.open_callers_)},
+               {"open_callers", std::to_string(state.caller_connections_.connections_.size())},
                {"loop_late_ms", text_of(longest_lateness(state.loop_lateness_))}});
     state.schedule_load_report_();
     // Connections that are open stay so until then, because a request may be on its way on any of them. The answer to
@@ -210,7 +214,7 @@
     log_cut_requests(state);
     log_event(severity::info, gateway_stopped, "gateway stopped",
               {{"open_requests", std::to_string(state.open_requests_)},
-               {"open_callers", std::to_string(state.open_callers_)},
+               {"open_callers", std::to_string(state.caller_connections_.connections_.size())},
                {"lasted_ms", text_of(lasted)},
                {"loop_late_ms", text_of(longest_lateness(state.loop_lateness_))}});
 }
--- a/packages/gateway/src/process/gateway_state.cpp
+++ b/packages/gateway/src/process/gateway_state.cpp
@@ -41,6 +41,8 @@
     retry_budget_.bound_ = settings_.retry_budget_;
     retry_budget_.vms_ = settings_.min_vms_;
     answer_buffers_.limit_ = settings_.answer_buffer_limit_;
+    body_memory_.limit_ = settings_.body_memory_limit_;
+    caller_connections_.limit_ = settings_.max_caller_connections_;
 }
 
 std::chrono::nanoseconds boot_time()
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <array>
+#include <sstream>
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -47,11 +49,8 @@
 /// The request to the server; must live until the write has completed.
 struct outgoing_request
 {
-    explicit outgoing_request(http_request message) : message_(std::move(message)), serializer_(message_) {}
-
-    http_request message_;
-    http::request_serializer<http::string_body> serializer_;
-    bool written_ = false;
+    std::string head_;
+    std::shared_ptr<const request_body> body_;
 };
 
 http_request make_server_request(const exchange& current, const listed_server& server)
@@ -68,20 +67,25 @@
     message.version(11);
     message.keep_alive(false);
     message.prepare_payload();
+    if (const auto size = current.body_->size(); size > 0)
+    {
+        message.content_length(size);
+    }
     return message;
 }
 
 /// Starts to write the request. The answer is read meanwhile, because a server may answer before it has read a long
 /// body.
-std::shared_ptr<outgoing_request> start_sending(const std::shared_ptr<backend_socket>& server, http_request message)
+void start_sending(const exchange& current, const std::shared_ptr<backend_socket>& server, const http_request& message)
 {
-    auto outgoing = std::make_shared<outgoing_request>(std::move(message));
-    http::async_write(server->socket_, outgoing->serializer_,
-                      [outgoing, server](const boost::system::error_code& ec, std::size_t) {
-                          // A failed connection is reported by the read of the answer.
-                          outgoing->written_ = !ec;
-                      });
-    return outgoing;
+    std::ostringstream head;
+    head << message.base();
+    const auto outgoing = std::make_shared<const outgoing_request>(outgoing_request{head.str(), current.body_});
+    auto parts = outgoing->body_->buffers();
+    parts.insert(parts.begin(), boost::asio::buffer(outgoing->head_));
+    // A failed connection is reported by the read of the answer.
+    boost::asio::async_write(server->socket_, parts,
+                             [outgoing, server](const boost::system::error_code&, std::size_t) {});
 }
 
 /// Time after which a server without a first byte counts as silent.
@@ -124,11 +128,10 @@
 
 /// Reads the whole body of an answer.
 /// @return nothing when the body is truncated, exceeds the size limit or the memory left for buffered answers
-task<std::optional<std::string>> read_body(exchange& current, std::shared_ptr<backend_socket> server,
-                                           answer_parser& parser)
+task<std::optional<std::string>> read_body(std::shared_ptr<backend_socket> server, answer_parser& parser,
+                                           buffer_share& share)
 {
     std::string body;
-    buffer_share share(current.state_.answer_buffers_);
     std::array<char, read_buffer_bytes> read_buffer{};
     while (!parser.is_done() && body.size() < max_plain_answer_bytes && share.grow_to(body.size() + read_buffer_bytes))
     {
@@ -250,7 +253,9 @@
 task<send_result> relay_plain(exchange& current, listed_server server, std::shared_ptr<answer_reader> reader,
                               server_answer answer)
 {
-    auto body = co_await read_body(current, reader->connection_, *reader->parser_);
+    // Held until the caller has read the answer.
+    const auto share = std::make_shared<buffer_share>(current.state_.answer_buffers_);
+    auto body = co_await read_body(reader->connection_, *reader->parser_, *share);
     if (!body)
     {
         co_return reject_answer(current, server, "not_whole");
@@ -267,6 +272,7 @@
     if (is_server_failure(answer.status_) && is_retry_safe(current) && !last_attempt)
     {
         current.error_answer_ = std::move(complete_answer);
+        current.error_answer_share_ = share;
         co_return send_result::server_failed;
     }
     co_return co_await deliver(current, std::move(complete_answer));
@@ -365,7 +371,7 @@
     const auto sent_at = std::chrono::steady_clock::now();
     current.watch_->backend_connection_ = connection;
     set_close_deadline(*connection, current.deadline_);
-    const auto outgoing = start_sending(connection, make_server_request(current, server));
+    start_sending(current, connection, make_server_request(current, server));
     const auto reader = std::make_shared<answer_reader>(connection, current.state_.answer_buffers_,
                                                         current.request_.method() == http::verb::head);
     current.send_.resources_->reader_ = reader;
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -321,18 +321,24 @@
         });
 }
 
-task<> send_gateway_answer(exchange& current, unsigned status, std::string reason,
-                           std::optional<milliseconds> retry_after)
+http_response make_gateway_answer(gateway_state& state, const caller_request& request, unsigned status,
+                                  const std::string& reason, std::optional<milliseconds> retry_after)
 {
     http_response answer(static_cast<http::status>(status), 11);
     answer.set(http::field::content_type, "application/json");
     if (retry_after)
     {
-        std::string seconds = std::to_string(static_cast<double>(retry_after->count()) / 1000.0);
-        answer.set(http::field::retry_after, seconds);
+        answer.set(http::field::retry_after, std::to_string(static_cast<double>(retry_after->count()) / 1000.0));
     }
-    current.state_.protocol_.write_gateway_fields_(current.parsed_request_, answer);
+    state.protocol_.write_gateway_fields_(request, answer);
     answer.body() = R"({"error":")" + reason + R"("})";
+    return answer;
+}
+
+task<> send_gateway_answer(exchange& current, unsigned status, std::string reason,
+                           std::optional<milliseconds> retry_after)
+{
+    auto answer = make_gateway_answer(current.state_, current.parsed_request_, status, reason, retry_after);
     current.state_.metrics_.count("gateway_refusals_total", {{"reason", reason}});
     log_event(severity::info, answered_by_gateway, reason,
               {{"request", current.parsed_request_.id_.get()},
@@ -382,10 +388,10 @@
 }
 
 task<bool> serve_request(gateway_state& state, std::shared_ptr<caller_socket> caller, http_request request,
-                         time_point arrived)
+                         std::shared_ptr<const request_body> body, time_point arrived)
 {
     const scoped_count open_request(state.open_requests_);
-    exchange current(state, caller, std::move(request));
+    exchange current(state, caller, std::move(request), std::move(body));
     const open_exchange listed(current);
     current.parsed_request_ = state.protocol_.read_request_(current.request_);
     current.arrived_ = arrived;
--- a/tests/gateway/request_test.cpp
+++ b/tests/gateway/request_test.cpp
@@ -231,7 +231,7 @@
     // Guards against closing a silent stream whose attempts are used up, as happened on a VM that received SIGTERM.
     gateway_fixture gateway;
     gateway.activate_route(make_route(request_kind::streaming, 2, true));
-    exchange current(gateway.state_, nullptr, {});
+    exchange current(gateway.state_, nullptr, {}, nullptr);
     current.route_ = find_route(*gateway.state_.table_, "h", "/r/x");
     current.service_ = &gateway.state_.table_->services_.at(service_id{"s"});
     REQUIRE(current.route_ != nullptr);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -59,6 +59,26 @@
 
 }  // namespace
 
+TEST_CASE("the bounds on callers follow from the memory and the descriptors of the VM")
+{
+    const auto limits_with = [](const std::string& limits) {
+        return platform::decode_settings(settings_text + "\n[limits]\n" + limits).gateway_;
+    };
+    constexpr std::uint64_t mib = 1024ULL * 1024;
+    constexpr std::uint64_t largest_body = 4 * mib;
+    for (const std::uint64_t memory_mb : {96, 160, 260, 512})
+    {
+        const auto gateway = limits_with("memory_mb = " + std::to_string(memory_mb) + "\nmax_fds = 4100\n");
+        // Answers may take twice their bound while their buffers grow.
+        CHECK(gateway.body_memory_limit_.get() + 2 * gateway.answer_buffer_limit_.get() <= memory_mb * mib * 2 / 3);
+        CHECK(gateway.body_memory_limit_.get() * 3 / 4 >= largest_body);
+        CHECK(gateway.max_caller_connections_ >= 512);
+        CHECK(gateway.max_caller_connections_ * 2 < 4100 - 200);
+    }
+    CHECK(limits_with("max_fds = 600").max_caller_connections_ == 150);
+    CHECK(limits_with("max_fds = \"many\"\nmemory_mb = -1").max_caller_connections_ >= 64);
+}
+
 TEST_CASE("unknown fields of the settings file are ignored")
 {
     const auto settings = platform::decode_settings(settings_text);
