Report all requests of a VM to the others

In a surge callers waited at engines that other VMs had filled already: a report was cut at one datagram of 1,400 bytes, so that of a VM with more than some twenty requests the newest were unknown to all others, which took their places for free.

The work of a report now goes into as many datagrams as it takes, with consecutive sequence numbers. What is not listed any more is removed with the last part; when a part is lost, the rest waits for the next report.

--- a/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
@@ -35,7 +35,9 @@
     std::vector<leaving_server> leaving_servers_;  ///< servers that told the sender that they are leaving
     std::vector<reported_part> suspect_parts_;     ///< a report with parts or limits carries nothing else
     std::vector<reported_limit> limits_;           ///< as `suspect_parts_`
-    std::size_t vms_known_ = 0;  ///< VMs known to the sender, directly or from reports, including itself
+    std::size_t vms_known_ = 0;   ///< VMs known to the sender, directly or from reports, including itself
+    std::size_t parts_left_ = 0;  ///< reports with further work that follow, each with the next sequence number
+    bool continues_ = false;      ///< adds to the work of the report with the sequence number before
 };
 
 /// @brief Another VM, with the contents of its last load report.
@@ -45,12 +47,14 @@
     incarnation incarnation_;
     std::uint64_t sequence_ = 0;
     time_point heard_at_;
-    std::vector<reported_work> work_;
+    std::vector<reported_work> work_;  ///< while a report in several parts arrives, also what may have ended since
     configuration_version version_;
     bool log_reachable_ = false;
     log_offset server_list_end_;  ///< the VM knows the server list up to, but not including, this offset
     data_centre_id data_centre_;
     transit_clock transit_;
+    std::vector<reported_work> arrived_work_ = {};  ///< work of the report of which further parts are awaited
+    std::size_t parts_awaited_ = 0;
 };
 
 /// @brief The other VMs by id.
@@ -74,7 +78,12 @@
 /// @brief Adds @a delay to the ages in @a report, so that they hold at the time when the report is handled.
 void add_delay(load_report& report, milliseconds delay);
 
-/// @brief Applies @a report to @a peers and @a load.
+/// @brief Splits @a report so that each part has at most @a work_per_part requests. A VM that is sent only some of the
+/// requests takes the engines of the others for free.
+[[nodiscard]] std::vector<load_report> split_work(load_report report, std::size_t work_per_part);
+
+/// @brief Applies @a report to @a peers and @a load. What a report in several parts does not list any more is removed
+/// with its last part; when a part is lost, the rest waits for the next report.
 /// @param now when the report arrived, without the time for which it waited to be handled
 /// @return false when the report is not newer than the last one applied
 bool apply_report(vm_peers& peers, fleet_load& load, const load_report& report, time_point now);
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -35,9 +35,9 @@
     }
 }
 
-bool contains(const load_report& report, const reported_work& wanted)
+bool contains(const std::vector<reported_work>& work, const reported_work& wanted)
 {
-    return std::ranges::any_of(report.work_, [&wanted](const reported_work& entry) {
+    return std::ranges::any_of(work, [&wanted](const reported_work& entry) {
         return entry.work_.key_ == wanted.work_.key_ && entry.server_ == wanted.server_;
     });
 }
@@ -65,6 +65,33 @@
     }
 }
 
+/// Applies the work of @a report, which is newer than the last one of @a peer.
+void apply_work(vm_peer& peer, fleet_load& load, const load_report& report, time_point now)
+{
+    std::ranges::for_each(report.work_, [&](const reported_work& entry) { merge_work(load, entry, now); });
+    auto arrived = report.continues_ ? std::move(peer.arrived_work_) : std::vector<reported_work>{};
+    std::ranges::copy(report.work_, std::back_inserter(arrived));
+    if (report.parts_left_ == 0)
+    {
+        std::ranges::for_each(peer.work_, [&](const reported_work& previous) {
+            if (!contains(arrived, previous))
+            {
+                remove_reported(load, previous);
+            }
+        });
+        peer.work_ = std::move(arrived);
+        peer.arrived_work_.clear();
+    }
+    else
+    {
+        std::ranges::copy_if(report.work_, std::back_inserter(peer.work_),
+                             [&peer](const reported_work& entry) { return !contains(peer.work_, entry); });
+        peer.arrived_work_ = std::move(arrived);
+    }
+    peer.parts_awaited_ = report.parts_left_;
+    peer.sequence_ = report.sequence_;
+}
+
 }  // namespace
 
 std::size_t known_vms(const vm_peers& peers)
@@ -92,7 +119,8 @@
     std::set<std::pair<vm_id, incarnation>> later;
     std::vector<load_report> kept;
     std::ranges::for_each(reports | std::views::reverse, [&](load_report& report) {
-        if (report.log_update_only_ || later.emplace(report.vm_, report.incarnation_).second)
+        const bool stays = report.log_update_only_ || report.continues_;
+        if (stays || later.emplace(report.vm_, report.incarnation_).second)
         {
             kept.push_back(std::move(report));
         }
@@ -113,6 +141,29 @@
     std::ranges::for_each(report.leaving_servers_, [delay](leaving_server& server) { server.age_ += delay; });
 }
 
+std::vector<load_report> split_work(load_report report, std::size_t work_per_part)
+{
+    auto rest = std::move(report.work_);
+    report.work_.clear();
+    report.parts_left_ = rest.empty() ? 0 : (rest.size() - 1) / work_per_part;
+    std::vector<load_report> parts;
+    auto next = rest.begin();
+    do
+    {
+        const auto count = std::min<std::ptrdiff_t>(static_cast<std::ptrdiff_t>(work_per_part), rest.end() - next);
+        auto part = report;
+        part.work_.assign(next, next + count);
+        next += count;
+        parts.push_back(std::move(part));
+        report.continues_ = true;
+        report.log_update_ = {};
+        report.leaving_servers_.clear();
+        ++report.sequence_;
+        --report.parts_left_;
+    } while (next != rest.end());
+    return parts;
+}
+
 bool apply_report(vm_peers& peers, fleet_load& load, const load_report& report, time_point now)
 {
     auto& peer = peers.peers_[report.vm_];
@@ -129,29 +180,30 @@
         return false;
     }
     peers.max_vms_reported_ = std::max(peers.max_vms_reported_, report.vms_known_);
+    if (report.continues_)
+    {
+        const bool fits = report.incarnation_ == peer.incarnation_ && report.sequence_ == peer.sequence_ + 1 &&
+                          report.parts_left_ + 1 == peer.parts_awaited_;
+        if (fits)
+        {
+            apply_work(peer, load, report, now);
+        }
+        return fits;
+    }
     if (report.log_update_only_)
     {
         peer.sequence_ = report.sequence_;
         peer.incarnation_ = report.incarnation_;
         return true;
     }
-    std::ranges::for_each(peer.work_, [&](const reported_work& previous) {
-        if (!contains(report, previous))
-        {
-            remove_reported(load, previous);
-        }
-    });
-    std::ranges::for_each(report.work_, [&](const reported_work& entry) { merge_work(load, entry, now); });
-    peer = vm_peer{report.address_,
-                   report.incarnation_,
-                   report.sequence_,
-                   now,
-                   report.work_,
-                   report.version_,
-                   report.log_update_.log_reachable_,
-                   report.log_update_.server_list_end_,
-                   report.data_centre_,
-                   peer.transit_};
+    peer.address_ = report.address_;
+    peer.incarnation_ = report.incarnation_;
+    peer.heard_at_ = now;
+    peer.version_ = report.version_;
+    peer.log_reachable_ = report.log_update_.log_reachable_;
+    peer.server_list_end_ = report.log_update_.server_list_end_;
+    peer.data_centre_ = report.data_centre_;
+    apply_work(peer, load, report, now);
     if (report.leaving_ && report.work_.empty())
     {
         peers.peers_.erase(report.vm_);
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -35,6 +35,8 @@
 constexpr std::chrono::seconds peer_unreachable_timeout{30};
 /// Fits one Ethernet frame, so that a report is not fragmented.
 constexpr byte_count max_sent_datagram{1400};
+/// The entry of a request takes up to about 75 bytes of a datagram, and what else is in a report up to 350.
+constexpr std::size_t max_work_per_datagram = 14;
 /// One change of the server list takes about 100 bytes of a datagram.
 constexpr std::size_t max_changes_per_datagram = 12;
 /// Changes of the server list are sent again to VMs that still lack them after this time. By then most VMs have
@@ -205,7 +207,11 @@
     drop_changes_before(update, update.changes_end_);
     auto report = make_report(exchange, std::move(update));
     report.work_ = exchange.state_.local_work_;
-    send_to_peers(exchange, report, now, [](const vm_peer&) { return true; });
+    const auto parts = split_work(std::move(report), max_work_per_datagram);
+    exchange.sequence_ += parts.size() - 1;
+    std::ranges::for_each(parts, [&](const load_report& part) {
+        send_to_peers(exchange, part, now, [](const vm_peer&) { return true; });
+    });
 }
 
 void remove_silent_peer_load(load_exchange& exchange, time_point now)
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint32_t max_tokens = 1'000'000'000;
 constexpr std::uint32_t max_time_ms = 24U * 3600 * 1000;
 constexpr std::uint32_t max_vms = 100'000;
+constexpr std::uint32_t max_parts = 1000;
 constexpr std::uint32_t max_slots = 100'000;
 constexpr std::uint32_t max_priority = 1'000'000;
 constexpr std::uint32_t max_trials = 1000;
@@ -250,7 +251,9 @@
     message.set_data_centre(report.data_centre_.get());
     message.set_configuration_version(report.version_.get());
     message.set_leaving(report.leaving_);
-    message.set_only_news(report.log_update_only_);
+    message.set_only_news(report.log_update_only_ || report.continues_);
+    message.set_work_follows(static_cast<std::uint32_t>(report.parts_left_));
+    message.set_continues_work(report.continues_);
     message.set_vms_known(static_cast<std::uint32_t>(report.vms_known_));
     encode_news(*message.mutable_news(), report.log_update_);
     std::ranges::for_each(report.leaving_servers_, [&message](const leaving_server& server) {
@@ -321,7 +324,9 @@
     report.data_centre_ = data_centre_id{message.data_centre()};
     report.version_ = configuration_version{message.configuration_version()};
     report.leaving_ = message.leaving();
-    report.log_update_only_ = message.only_news();
+    report.continues_ = message.continues_work();
+    report.log_update_only_ = message.only_news() && !report.continues_;
+    report.parts_left_ = std::min(message.work_follows(), max_parts);
     report.vms_known_ = std::min(message.vms_known(), max_vms);
     std::ranges::transform(
         message.leaving_servers(), std::back_inserter(report.leaving_servers_), [](const load::LeavingServer& server) {
--- a/tests/wire/load_codec_test.cpp
+++ b/tests/wire/load_codec_test.cpp
@@ -182,3 +182,29 @@
     }
     CHECK(implausible == 0);
 }
+
+TEST_CASE("the parts of a large report fit into datagrams of their own and are read as such")
+{
+    auto large = report_with(60);
+    std::ranges::for_each(large.work_, [](reported_work& entry) {
+        entry.work_.joint_prompt_ = token_count{900000};
+        entry.work_.is_helper_ = true;
+        entry.work_.organisation_ = organisation_hash{0xFFFFFFFF};
+    });
+    const auto parts = split_work(large, 14);
+    REQUIRE(parts.size() == 5);
+    std::size_t read = 0;
+    for (const auto& part : parts)
+    {
+        const auto bytes = encode_load_report(part, byte_count{1400}, now);
+        CHECK(bytes.size() <= 1400);
+        const auto decoded = decode_load_report(bytes, now);
+        REQUIRE(decoded);
+        read += decoded->work_.size();
+        CHECK(decoded->continues_ == part.continues_);
+        CHECK(decoded->parts_left_ == part.parts_left_);
+        CHECK(decoded->sequence_ == part.sequence_);
+        CHECK_FALSE(decoded->log_update_only_);
+    }
+    CHECK(read == 60);
+}
