Forecast the wait for a slot on a full engine

The forecast prefilled all requests of an engine at once, whatever its slots, so a full engine looked as good as a free one, and requests stood in engines' queues, where each late one made the next late. Answers longer than expected were forecast to end with the next pass, so that full engines seemed to become free all the time.

A request that an engine has not begun now waits in the forecast until a slot is free, and an overdue answer is assumed to go on for a quarter of the mean length.

Evidence: two of the three new cases fail on the former forecast, the third holds on both.

--- a/packages/decisions/src/process/engine_simulation.cpp
+++ b/packages/decisions/src/process/engine_simulation.cpp
@@ -38,6 +38,9 @@
 /// Prompt tokens that the simulation leaves to prefill until the first token of the request is observed.
 constexpr std::int64_t min_prefill_left_tokens = 256;
 
+/// The least rest of a running answer that a forecast assumes, as a part of the mean length of answers.
+constexpr std::int64_t overdue_answer_divisor = 4;
+
 using float_ms = std::chrono::duration<double, std::milli>;
 
 time_point::duration duration_of_pass(double length_ms)
@@ -84,12 +87,21 @@
     return chunk / profile.prefill_tokens_per_ms_ + profile.prefill_ms_per_million_token_pairs_ * pairs / 1e6;
 }
 
+/// True when the engine has begun to work on the request, so that it occupies a slot.
+bool occupies_slot(const engine_work& request)
+{
+    return !request.is_helper_ && !request.holds_engine_ &&
+           (request.generating_ || request.prefill_left_ < request.prompt_);
+}
+
 /// The request whose prompt is prefilled next in a pass that began at @a start: parts of joint prefills first, then the
-/// most urgent request, then the earliest.
-engine_work* next_prefill(std::vector<engine_work>& work, time_point start)
+/// most urgent request, then the earliest. A request that the engine has not begun waits for a free slot.
+engine_work* next_prefill(std::vector<engine_work>& work, const engine_profile& profile, time_point start)
 {
-    auto waiting = work | std::views::filter([start](const engine_work& request) {
-                       return !request.generating_ && request.prefill_left_.get() > 0 && request.sent_at_ <= start;
+    const bool has_slot = std::ranges::count_if(work, occupies_slot) < profile.slots_;
+    auto waiting = work | std::views::filter([start, has_slot](const engine_work& request) {
+                       return !request.generating_ && request.prefill_left_.get() > 0 && request.sent_at_ <= start &&
+                              (has_slot || request.is_helper_ || occupies_slot(request));
                    });
     const auto found = std::ranges::min_element(waiting, {}, [](const engine_work& request) {
         return std::pair(request.joint_prompt_.get() == 0, request.priority_);
@@ -110,7 +122,7 @@
         static_cast<std::int64_t>(profile.prefill_chunk_tokens_) * (generates ? profile.decode_steps_per_pass_ : 1);
     while (prefill_budget > 0)
     {
-        engine_work* const next = next_prefill(work, start);
+        engine_work* const next = next_prefill(work, profile, start);
         if (next == nullptr)
         {
             break;
@@ -197,6 +209,16 @@
     return !request.generating_ && request.prefill_left_.get() > 0;
 }
 
+/// Answers that are longer than expected are forecast to go on. Otherwise their slots would seem to become free with
+/// the next pass, one after the other for as long as they run.
+void extend_overdue_answers(std::vector<engine_work>& work, const engine_profile& profile)
+{
+    const token_count least{std::max<std::int64_t>(1, profile.mean_output_tokens_.get() / overdue_answer_divisor)};
+    std::ranges::for_each(work | std::views::filter(&engine_work::generating_), [least](engine_work& request) {
+        request.answer_left_ = std::max(request.answer_left_, least);
+    });
+}
+
 /// Simulates until all prompts are prefilled.
 void simulate_prefills(engine_forecast& forecast, const engine_profile& profile, double slowdown,
                        execution_id candidate, time_point now)
@@ -455,6 +477,7 @@
                                       const engine_work& candidate, time_point now)
 {
     engine_forecast baseline{engine.work_, engine.simulated_until_};
+    extend_overdue_answers(baseline.work_, profile);
     if (!baseline.work_.empty())
     {
         // The candidate arrives too late for the current pass.
--- a/tests/decisions/engine_simulation_test.cpp
+++ b/tests/decisions/engine_simulation_test.cpp
@@ -263,3 +263,58 @@
     const auto later = now + milliseconds{500};
     CHECK(choose_server(directory, load, service, request, later).server_->listed_.id_ != server_id{"near"});
 }
+
+namespace
+{
+
+/// An engine all of whose slots have requests that generate, with @a answer_left tokens left of each answer.
+engine_simulation full_engine(token_count answer_left, time_point now)
+{
+    engine_simulation engine;
+    for (std::uint64_t key = 1; key <= 16; ++key)
+    {
+        auto work = make_work(key, 5000, short_target, now - std::chrono::seconds{1});
+        work.prefill_left_ = token_count{0};
+        work.generating_ = true;
+        work.answer_left_ = answer_left;
+        add_work(engine, work, now);
+    }
+    return engine;
+}
+
+}  // namespace
+
+// Guards against requests that are sent to full engines, where they wait for a slot, although they were forecast to be
+// in time: in a surge they wait behind one another, and each late one makes the next late.
+TEST_CASE("the forecast for a full engine includes the wait for a slot")
+{
+    const time_point now{std::chrono::hours{1}};
+    const auto candidate = make_work(99, 5000, short_target, now);
+    auto almost_full = full_engine(token_count{1000}, now);
+    remove_work(almost_full, execution_id{1});
+    const auto with_slot = forecast_placement(almost_full, profile(), 1.0, candidate, now);
+    CHECK(with_slot.first_token_ < short_target);
+    const auto without_slot = forecast_placement(full_engine(token_count{1000}, now), profile(), 1.0, candidate, now);
+    // 1,000 tokens take at least 1,310 ms.
+    CHECK(without_slot.first_token_ > milliseconds{1310});
+    CHECK(without_slot.benefit_ < with_slot.benefit_ / 2);
+}
+
+TEST_CASE("requests that wait for a slot are served one after the other")
+{
+    const time_point now{std::chrono::hours{1}};
+    auto engine = full_engine(token_count{340}, now);
+    engine.work_.front().answer_left_ = token_count{34};
+    const auto next = forecast_placement(engine, profile(), 1.0, make_work(98, 5000, short_target, now), now);
+    add_work(engine, make_work(98, 5000, short_target, now), now);
+    const auto second = forecast_placement(engine, profile(), 1.0, make_work(99, 5000, short_target, now), now);
+    CHECK(second.first_token_ > next.first_token_);
+}
+
+TEST_CASE("answers that are longer than expected do not make a full engine look free")
+{
+    const time_point now{std::chrono::hours{1}};
+    const auto forecast = forecast_placement(full_engine(token_count{1}, now), profile(), 1.0,
+                                             make_work(99, 5000, short_target, now), now);
+    CHECK(forecast.first_token_ > short_target);
+}
