--- a/tests/child_process.hpp
+++ b/tests/child_process.hpp
@@ -70,6 +70,12 @@
         return *this;
     }
 
+    /// The process id; 0 once its end has been seen.
+    [[nodiscard]] pid_t id() const
+    {
+        return id_;
+    }
+
     void send(int signal) const
     {
         if (id_ > 0)
