--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -4,6 +4,7 @@
 /// All decisions of cornelstall: free functions over plain structs. They do not read a clock, send messages or depend
 /// on an encoding, so that any front end can use them.
 
+#include "cornelstall/decisions/connection/body_reading.hpp"
 #include "cornelstall/decisions/connection/configuration_source.hpp"
 #include "cornelstall/decisions/connection/load_report.hpp"
 #include "cornelstall/decisions/connection/log_update.hpp"
