Bound what callers can make an entry process hold

cpprestsdk's listener buffered whatever a caller sent, read or not: 48 callers with 16 MB each took the process to 646 to 656 MB, over TLS to 665 and 666 MB (bound 256 MB). The own interface now reads on Boost.Asio with Boost.Beast's parser: heads, connections, idle time, bodies that are read and answers that are not read have bounds, and a body that nobody reads is discarded. The hostile-caller test sends the same bytes as before, and has a case over TLS.

A transfer coding other than chunked is refused, because the parser would take the body for the next request. The answer to HEAD has no body.

--- a/packages/runtime/include/cornelstall/runtime/connection/caller_connection.hpp
+++ b/packages/runtime/include/cornelstall/runtime/connection/caller_connection.hpp
@@ -4,15 +4,14 @@
 #include <optional>
 #include <string>
 
-#include <cpprest/http_msg.h>
-#include <cpprest/producerconsumerstream.h>
-
 #include "cornelstall/runtime/process/task.hpp"
 #include "cornelstall/value.hpp"
 
 namespace cornelstall
 {
 
+struct caller_exchange;
+
 /// @brief Bytes that may wait for a slow caller before the entry process stops reading from the engine.
 inline constexpr std::size_t max_unsent_bytes = 1'048'576;
 
@@ -20,7 +19,7 @@
 class caller_connection
 {
   public:
-    explicit caller_connection(const web::http::http_request& request);
+    explicit caller_connection(std::shared_ptr<caller_exchange> exchange);
 
     /// @brief The value of header @a name, empty when it is absent.
     [[nodiscard]] std::string header(const std::string& name) const;
@@ -34,12 +33,13 @@
     /// @brief The path as sent, with the query.
     [[nodiscard]] std::string path_and_query() const;
 
-    /// @brief Reads the whole body.
-    /// @throws request_error `body_too_large` (id 115) or `slow_sender` (id 116)
+    /// @brief Reads the whole body. A body that nobody reads is not kept: after the answer, the connection is closed.
+    /// @throws request_error `body_too_large` (id 115), `slow_sender` (id 116), `malformed_request` (ids 117 and 133),
+    /// or `queue_full` (id 124) when the memory for bodies is used up
     [[nodiscard]] task<std::string> read_body(byte_count limit, milliseconds time);
 
     /// @brief Sends a whole answer. Only the first answer counts.
-    void reply(int status, std::string body, const std::string& content_type,
+    void reply(int status, const std::string& body, const std::string& content_type,
                std::optional<milliseconds> retry_after = std::nullopt);
 
     /// @brief Begins a server-sent event stream.
@@ -59,12 +59,7 @@
     [[nodiscard]] bool gone() const noexcept;
 
   private:
-    struct sent_state;
-    web::http::http_request request_;
-    concurrency::streams::producer_consumer_buffer<std::uint8_t> body_;
-    std::shared_ptr<sent_state> sent_;
-    bool replied_ = false;
-    bool streaming_ = false;
+    std::shared_ptr<caller_exchange> exchange_;
 };
 
 }  // namespace cornelstall
--- a/packages/runtime/include/cornelstall/runtime/process/settings.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/settings.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "cornelstall/runtime/connection/caller_bounds.hpp"
 #include "cornelstall/runtime/process/log_event.hpp"
 #include "cornelstall/value.hpp"
 
@@ -43,6 +44,7 @@
     milliseconds stop_limit_{3'600'000};  ///< a stop that takes longer is logged as an error
     int worker_threads_ = 4;              ///< cpprestsdk's pool: parsing and socket work
     int max_requests_ = 4096;             ///< requests served at once
+    caller_bounds caller_bounds_;         ///< `connections_` is a flag
     severity log_level_ = severity::info;
     tls_files tls_;
 };
--- a/packages/runtime/src/connection/caller_listener.cpp
+++ b/packages/runtime/src/connection/caller_listener.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <array>
 
-#include <cpprest/http_listener.h>
 #include <openssl/crypto.h>
+#include <sys/resource.h>
+#include <boost/asio/ip/tcp.hpp>
 
+#include "connection/caller_session.hpp"
 #include "cornelstall/runtime/process/status.hpp"
 #include "cornelstall/runtime/request/model_request.hpp"
 
@@ -15,8 +17,7 @@
 namespace
 {
 
-using web::http::experimental::listener::http_listener;
-using web::http::experimental::listener::http_listener_config;
+using boost::asio::ip::tcp;
 
 constexpr std::string_view explain_path = "/operator/explain/";
 constexpr std::string_view services_path = "/services/";
@@ -25,6 +26,9 @@
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 constexpr const char* json_type = "application/json";
+constexpr int listen_backlog = 1024;
+/// Descriptors for files, for connections to the platform and to other entry processes.
+constexpr rlim_t reserved_descriptors = 200;
 
 /// Counts a request for as long as it is open; a planned stop waits for the count to reach zero.
 class open_request
@@ -154,25 +158,71 @@
     }
 }
 
-http_listener_config config_of(const settings& values)
+std::unique_ptr<boost::asio::ssl::context> make_tls_context(const tls_files& files)
 {
-    http_listener_config config;
-    if (values.tls_.enabled())
+    using boost::asio::ssl::context;
+    if (!files.enabled())
     {
-        config.set_ssl_context_callback([files = values.tls_](boost::asio::ssl::context& context) {
-            context.set_options(boost::asio::ssl::context::default_workarounds | boost::asio::ssl::context::no_sslv2 |
-                                boost::asio::ssl::context::no_sslv3 | boost::asio::ssl::context::no_tlsv1 |
-                                boost::asio::ssl::context::no_tlsv1_1);
-            context.use_certificate_chain_file(files.certificate_);
-            context.use_private_key_file(files.private_key_, boost::asio::ssl::context::pem);
-        });
+        return nullptr;
     }
-    return config;
+    auto result = std::make_unique<context>(context::tls_server);
+    result->set_options(context::default_workarounds | context::no_sslv2 | context::no_sslv3 | context::no_tlsv1 |
+                        context::no_tlsv1_1);
+    result->use_certificate_chain_file(files.certificate_);
+    result->use_private_key_file(files.private_key_, context::pem);
+    // Idle connections hold no record buffers.
+    SSL_CTX_set_mode(result->native_handle(), SSL_MODE_RELEASE_BUFFERS);
+    return result;
 }
 
-std::string url_of(const settings& values)
+/// The bounds of the settings. Each request may need a second descriptor for its backend server, so that connections
+/// get half of what the process may open.
+caller_bounds bounds_of(const settings& values)
 {
-    return (values.tls_.enabled() ? "https://" : "http://") + values.listen_.get();
+    auto bounds = values.caller_bounds_;
+    rlimit descriptors{};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0 && descriptors.rlim_cur != RLIM_INFINITY)
+    {
+        const auto free = descriptors.rlim_cur - std::min(descriptors.rlim_cur, reserved_descriptors);
+        bounds.connections_ =
+            static_cast<int>(std::clamp(free / 2, rlim_t{1}, static_cast<rlim_t>(std::max(bounds.connections_, 1))));
+    }
+    return bounds;
+}
+
+tcp::endpoint endpoint_of(const executor& where, const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    auto host = address.substr(0, colon);
+    if (host.starts_with('[') && host.ends_with(']'))
+    {
+        host = host.substr(1, host.size() - 2);
+    }
+    tcp::resolver resolver(where);
+    return *resolver.resolve(host, address.substr(colon + 1), tcp::resolver::passive).begin();
+}
+
+void start_listening(tcp::acceptor& acceptor, const tcp::endpoint& endpoint)
+{
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen(listen_backlog);
+}
+
+std::shared_ptr<const caller_handlers> make_handlers(entry_state& state, plain_service_handler plain)
+{
+    caller_handlers handlers;
+    handlers.serve_ = [&state, plain = std::move(plain)](std::shared_ptr<caller_connection> connection) {
+        return serve(state, plain, std::move(connection));
+    };
+    handlers.refuse_ = [&state](caller_connection& connection, const request_error& problem) {
+        refuse(state, connection, next_request_id(state), problem);
+    };
+    handlers.connection_refused_ = [&state] {
+        state.metrics_.count("cornelstall_connections_refused_total");
+    };
+    return std::make_shared<const caller_handlers>(std::move(handlers));
 }
 
 }  // namespace
@@ -180,41 +230,52 @@
 struct caller_listener::listener
 {
     listener(entry_state& state, plain_service_handler plain)
-        : state_(state), http_(url_of(state.settings_), config_of(state.settings_))
-    {
-        http_.support([&state, plain = std::move(plain)](const web::http::http_request& request) {
-            boost::asio::post(state.executor_, [&state, plain, request] {
-                spawn(state.executor_, "serve", serve(state, plain, std::make_shared<caller_connection>(request)));
-            });
-        });
-    }
+        : state_(state),
+          traffic_(std::make_shared<caller_traffic>(state.executor_, bounds_of(state.settings_))),
+          acceptor_(std::make_shared<tcp::acceptor>(state.executor_)),
+          handlers_(make_handlers(state, std::move(plain)))
+    {}
 
     entry_state& state_;
-    http_listener http_;
+    std::shared_ptr<caller_traffic> traffic_;
+    std::shared_ptr<tcp::acceptor> acceptor_;
+    std::shared_ptr<const caller_handlers> handlers_;
 };
 
 caller_listener::caller_listener(entry_state& state, plain_service_handler plain)
     : listener_(std::make_unique<listener>(state, std::move(plain)))
 {}
 
-caller_listener::~caller_listener() = default;
+caller_listener::~caller_listener()
+{
+    boost::system::error_code ignored;
+    listener_->acceptor_->close(ignored);
+}
 
 task<> caller_listener::open()
 {
+    auto& parts = *listener_;
+    const auto address = parts.state_.settings_.listen_.get();
     try
     {
-        co_await await_task(listener_->http_.open());
+        parts.traffic_->tls_ = make_tls_context(parts.state_.settings_.tls_);
+        start_listening(*parts.acceptor_, endpoint_of(parts.state_.executor_, address));
     }
     catch (const std::exception& problem)
     {
-        throw process_error(413, "cannot listen on " + listener_->state_.settings_.listen_.get() +
-                                     "; check --listen and that the port is free: " + problem.what());
+        throw process_error(413, "cannot listen on " + address +
+                                     "; check --listen, that the port is free, and the TLS files: " + problem.what());
     }
+    spawn(parts.state_.executor_, "accept_callers", accept_callers(parts.traffic_, parts.acceptor_, parts.handlers_));
+    co_return;
 }
 
 task<> caller_listener::close()
 {
-    co_await await_task(listener_->http_.close());
+    boost::system::error_code ignored;
+    listener_->acceptor_->close(ignored);
+    end_callers(*listener_->traffic_);
+    co_await wait_for_callers(listener_->traffic_);
 }
 
 }  // namespace cornelstall
--- a/packages/runtime/src/process/settings.cpp
+++ b/packages/runtime/src/process/settings.cpp
@@ -177,6 +177,7 @@
         "stop-limit-ms", "a stop that takes longer is logged as an error (default 3600000)", text())(
         "worker-threads", "threads for parsing and sockets (default 4)", text())(
         "max-requests", "requests served at once (default 4096)", text())(
+        "max-connections", "callers' connections open at once (default 5120, with TLS 2048)", text())(
         "log-level", "debug, info, warning or error (default info)", text())("tls-certificate", "PEM file", text())(
         "tls-key", "PEM file", text())("tls-authority", "PEM file", text())("help", "print this text")(
         "version", "print the version");
@@ -205,6 +206,9 @@
     result.max_requests_ = static_cast<int>(values.number("max-requests", result.max_requests_, 1, 1'000'000));
     result.log_level_ = parse_severity(values.text("log-level", "info"));
     result.tls_ = tls_of(values);
+    auto& connections = result.caller_bounds_.connections_;
+    connections = result.tls_.enabled() ? default_tls_connections : connections;
+    connections = static_cast<int>(values.number("max-connections", connections, 1, 1'000'000));
     return result;
 }
 
--- a/tests/processes/hostile_callers_test.cpp
+++ b/tests/processes/hostile_callers_test.cpp
@@ -1,9 +1,7 @@
-#include <netinet/in.h>
 #include <poll.h>
-#include <sys/socket.h>
 
 #include <array>
-#include <cerrno>
+#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -11,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include "processes/process_fixture.hpp"
+#include "processes/tls_client.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::testing;
@@ -87,30 +86,15 @@
 class hostile_caller
 {
   public:
-    hostile_caller(const socket_address& address, hostile_body body)
-        : body_(std::move(body)), socket_(::socket(AF_INET, SOCK_STREAM, 0))
+    hostile_caller(const socket_address& address, SSL_CTX* context, hostile_body body)
+        : body_(std::move(body)), connection_(address, context), pending_(body_.head_)
     {
-        const auto& text = address.get();
-        sockaddr_in target{};
-        target.sin_family = AF_INET;
-        target.sin_port = htons(static_cast<std::uint16_t>(std::stoul(text.substr(text.rfind(':') + 1))));
-        target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(::connect(socket_, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0);
-        pending_ = body_.head_;
+        REQUIRE(connection_.is_connected());
     }
 
-    ~hostile_caller()
-    {
-        ::close(socket_);
-    }
-    hostile_caller(const hostile_caller&) = delete;
-    hostile_caller& operator=(const hostile_caller&) = delete;
-    hostile_caller(hostile_caller&&) = delete;
-    hostile_caller& operator=(hostile_caller&&) = delete;
-
     [[nodiscard]] int socket() const
     {
-        return socket_;
+        return connection_.socket();
     }
 
     /// True when there is nothing more to send, or nobody to send it to.
@@ -128,15 +112,14 @@
                 prepare_next();
                 continue;
             }
-            const auto count =
-                ::send(socket_, pending_.data() + sent_, pending_.size() - sent_, MSG_DONTWAIT | MSG_NOSIGNAL);
-            if (count < 0)
+            const auto count = connection_.write_some(std::string_view(pending_).substr(sent_));
+            closed_ = !count;
+            if (count.value_or(0) == 0)
             {
-                closed_ = errno != EAGAIN && errno != EWOULDBLOCK;
                 return;
             }
-            sent_ += static_cast<std::size_t>(count);
-            total_ += static_cast<std::size_t>(count);
+            sent_ += *count;
+            total_ += *count;
         }
     }
 
@@ -160,7 +143,7 @@
     }
 
     hostile_body body_;
-    int socket_;
+    raw_connection connection_;
     std::string pending_;
     std::size_t sent_ = 0;
     std::size_t prepared_ = 0;
@@ -171,14 +154,14 @@
 
 using crowd = std::vector<std::unique_ptr<hostile_caller>>;
 
-crowd make_crowd(const socket_address& address)
+crowd make_crowd(const socket_address& address, SSL_CTX* context)
 {
     crowd callers;
     for (const auto& body : hostile_bodies())
     {
         for (std::size_t number = 0; number < callers_per_kind; ++number)
         {
-            callers.push_back(std::make_unique<hostile_caller>(address, body));
+            callers.push_back(std::make_unique<hostile_caller>(address, context, body));
         }
     }
     return callers;
@@ -233,30 +216,78 @@
     return static_cast<std::size_t>(std::distance(begin(files), end(files)));
 }
 
-}  // namespace
+/// Sends one request and waits for its answer.
+std::string exchange(const socket_address& address, SSL_CTX* context, const std::string& request)
+{
+    raw_connection connection(address, context);
+    std::string answer;
+    if (!connection.is_connected() || connection.write_some(request) != request.size())
+    {
+        return answer;
+    }
+    const auto end = std::chrono::steady_clock::now() + generous;
+    std::optional<std::size_t> count{0};
+    while (count && std::chrono::steady_clock::now() < end)
+    {
+        pollfd waiting{connection.socket(), POLLIN, 0};
+        (void)::poll(&waiting, 1, poll_interval_ms);
+        count = connection.read_some(answer);
+    }
+    return answer;
+}
 
-// Guards against a listener that keeps the bodies of callers that keep to no limit: the process's memory then grows
-// with what is sent to it, until the platform kills it.
-TEST_CASE("bodies far over the limit do not grow an entry process beyond its memory")
+std::string ordinary_request()
 {
-    fleet world;
-    (void)world.add_engine("dc-1");
-    auto entry = world.start_entry("dc-1");
-    REQUIRE(world.publish_examples() == 0);
-    REQUIRE(world.eventually([&] { return world.version(entry.address_) == 1 && world.knows(entry.address_, 1, 1); }));
-    const auto memory_before = peak_memory_of(entry.process_.id());
+    const auto body = question("an ordinary request", 4);
+    return head_of("/v1/completions", driver_key,
+                   "Connection: close\r\nContent-Length: " + std::to_string(body.size())) +
+           body;
+}
 
-    auto callers = make_crowd(entry.address_);
+/// Sends the crowd's bodies and checks what the process needed for them.
+void check_under_crowd(entry_process& entry, SSL_CTX* context)
+{
+    const auto memory_before = peak_memory_of(entry.process_.id());
+    auto callers = make_crowd(entry.address_, context);
     const auto sent = send_all(callers);
     const auto peak = peak_memory_of(entry.process_.id());
     const auto descriptors = descriptors_of(entry.process_.id());
-    const auto answer = world.call("POST", entry.address_, "/v1/completions", question("an ordinary request", 4),
-                                   as_caller(driver_key));
+    const auto answer = exchange(entry.address_, context, ordinary_request());
 
     INFO("bytes sent: " << sent << ", peak memory before the crowd: " << memory_before);
     CHECK_FALSE(entry.process_.ended().has_value());
     CHECK(peak < max_memory_bytes);
     CHECK(peak > 0);
     CHECK(descriptors < max_descriptors);
-    CHECK(answer.status_ == 200);
+    CHECK(answer.starts_with("HTTP/1.1 200 "));
+}
+
+}  // namespace
+
+// Guards against a listener that keeps the bodies of callers that keep to no limit: the process's memory then grows
+// with what is sent to it, until the platform kills it.
+TEST_CASE("bodies far over the limit do not grow an entry process beyond its memory")
+{
+    fleet world;
+    (void)world.add_engine("dc-1");
+    auto entry = world.start_entry("dc-1");
+    REQUIRE(world.publish_examples() == 0);
+    REQUIRE(world.eventually([&] { return world.version(entry.address_) == 1 && world.knows(entry.address_, 1, 1); }));
+    check_under_crowd(entry, nullptr);
+}
+
+TEST_CASE("bodies far over the limit do not grow an entry process beyond its memory over TLS")
+{
+    // OpenSSL writes with write(), which raises SIGPIPE on a closed connection.
+    std::signal(SIGPIPE, SIG_IGN);  // NOLINT(cert-err33-c)
+    fleet world;
+    (void)world.add_engine("dc-1");
+    const self_signed_files files;
+    const auto context = trusting_context();
+    auto entry = world.start_entry("dc-1", files.flags());
+    REQUIRE(world.publish_examples() == 0);
+    // An answer shows that the configuration and the engine are known.
+    REQUIRE(world.eventually(
+        [&] { return exchange(entry.address_, context.get(), ordinary_request()).starts_with("HTTP/1.1 200 "); }));
+    check_under_crowd(entry, context.get());
 }
--- a/tests/processes/process_fixture.hpp
+++ b/tests/processes/process_fixture.hpp
@@ -126,7 +126,8 @@
         return address;
     }
 
-    entry_process start_entry(const std::string& data_centre)
+    /// @param flags added to those of every entry process
+    entry_process start_entry(const std::string& data_centre, const std::vector<std::string>& flags = {})
     {
         auto address = tests::free_address();
         const auto peer = tests::free_address();
@@ -137,27 +138,28 @@
                         {"role", "entry"},
                         {"state", "live"}});
         publish_vms();
-        return {address, peer, data_centre,
-                start_program("apps/cornelstall/cornelstall", {"--name",
-                                                               "entry",
-                                                               "--data-centre",
-                                                               data_centre,
-                                                               "--listen",
-                                                               address.get(),
-                                                               "--peer-listen",
-                                                               peer.get(),
-                                                               "--log",
-                                                               "http://" + log_address_.get(),
-                                                               "--vm-list",
-                                                               "http://" + platform_address_.get(),
-                                                               "--peer-key",
-                                                               "peer-key-for-tests-01",
-                                                               "--operator-key",
-                                                               operator_key,
-                                                               "--drain-grace-ms",
-                                                               "300",
-                                                               "--log-level",
-                                                               "error"})};
+        std::vector<std::string> arguments{"--name",
+                                           "entry",
+                                           "--data-centre",
+                                           data_centre,
+                                           "--listen",
+                                           address.get(),
+                                           "--peer-listen",
+                                           peer.get(),
+                                           "--log",
+                                           "http://" + log_address_.get(),
+                                           "--vm-list",
+                                           "http://" + platform_address_.get(),
+                                           "--peer-key",
+                                           "peer-key-for-tests-01",
+                                           "--operator-key",
+                                           operator_key,
+                                           "--drain-grace-ms",
+                                           "300",
+                                           "--log-level",
+                                           "error"};
+        arguments.insert(arguments.end(), flags.begin(), flags.end());
+        return {address, peer, data_centre, start_program("apps/cornelstall/cornelstall", arguments)};
     }
 
     /// Runs `cornelctl publish examples` and returns its exit code.
--- a/tests/runtime/entry_fixture.hpp
+++ b/tests/runtime/entry_fixture.hpp
@@ -53,7 +53,8 @@
 /// @brief One entry process without peers.
 struct entry_fixture
 {
-    entry_fixture() : state_(sample_settings(), io_.get_executor()), listener_(state_, {})
+    explicit entry_fixture(settings values = sample_settings())
+        : state_(std::move(values), io_.get_executor()), listener_(state_, {})
     {
         state_.version_ = make_version_state(sample_configuration());
         auto opened = std::make_shared<task_end<bool>>();
