--- a/packages/decisions/include/cornelstall/decisions/process/body_memory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/body_memory.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <optional>
 
-#include "cornelstall/value.hpp"
+#include "cornelstall/decisions/connection/body_reading.hpp"
 
 namespace cornelstall
 {
@@ -14,9 +13,6 @@
 /// ended. Answers the load of callers that send many large bodies at once or stop in the middle of them: what all
 /// bodies hold together never exceeds the budget, and bodies of usual sizes always find room.
 
-/// @brief Identifies a body among those of the process.
-using body_id = std::uint64_t;
-
 /// @brief What one body holds.
 struct body_account
 {
@@ -30,7 +26,7 @@
 {
     byte_count limit_{64ULL * 1024 * 1024};
     byte_count used_;
-    body_id last_id_ = 0;
+    body_id next_id_{1};
     std::map<body_id, body_account> bodies_;
 };
 
--- a/packages/decisions/include/cornelstall/decisions/process/caller_connections.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/caller_connections.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -9,12 +8,17 @@
 namespace cornelstall
 {
 
+namespace detail
+{
+struct connection_tag;
+}  // namespace detail
+
 /// @file
 /// The bound on callers' connections. Answers the load of callers that open connections and leave them open: a new
 /// caller finds a place as long as another connection does nothing.
 
 /// @brief Identifies a caller's connection among those of the process.
-using connection_id = std::uint64_t;
+using connection_id = strong_number<detail::connection_tag, std::uint64_t>;
 
 /// @brief What a caller's connection is doing.
 enum class connection_stage
@@ -35,7 +39,7 @@
 struct caller_connections
 {
     std::size_t limit_ = 1024;
-    connection_id last_id_ = 0;
+    connection_id next_id_{1};
     std::map<connection_id, connection_entry> connections_;
 };
 
--- a/packages/decisions/src/process/body_memory.cpp
+++ b/packages/decisions/src/process/body_memory.cpp
@@ -45,7 +45,8 @@
 
 body_id open_body(body_memory& memory, time_point now)
 {
-    const auto id = ++memory.last_id_;
+    const auto id = memory.next_id_;
+    memory.next_id_ += body_id{1};
     memory.bodies_[id].progressed_at_ = now;
     return id;
 }
--- a/packages/decisions/src/process/caller_connections.cpp
+++ b/packages/decisions/src/process/caller_connections.cpp
@@ -32,7 +32,8 @@
 
 connection_id open_connection(caller_connections& all, time_point now)
 {
-    const auto id = ++all.last_id_;
+    const auto id = all.next_id_;
+    all.next_id_ += connection_id{1};
     all.connections_[id].since_ = now;
     return id;
 }
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -33,10 +33,11 @@
 constexpr milliseconds peer_silence_timeout{1500};
 /// A VM that has been silent for this long is not sent reports until it reports again.
 constexpr std::chrono::seconds peer_unreachable_timeout{30};
-/// Fits one Ethernet frame, so that a report is not fragmented.
-constexpr byte_count max_sent_datagram{1400};
+/// One datagram carries the report of a VM in all but the heaviest load, because each further one costs all receivers
+/// a wake-up. Those above 1,400 bytes travel in up to three fragments.
+constexpr byte_count max_sent_datagram{4096};
 /// The entry of a request takes up to about 75 bytes of a datagram, and what else is in a report up to 350.
-constexpr std::size_t max_work_per_datagram = 14;
+constexpr std::size_t max_work_per_datagram = 48;
 /// One change of the server list takes about 100 bytes of a datagram.
 constexpr std::size_t max_changes_per_datagram = 12;
 /// Changes of the server list are sent again to VMs that still lack them after this time. By then most VMs have
--- a/tests/child_process.hpp
+++ b/tests/child_process.hpp
@@ -84,12 +84,6 @@
         }
     }
 
-    /// The process id; 0 after the process was waited for.
-    [[nodiscard]] pid_t id() const
-    {
-        return id_;
-    }
-
     /// The exit code; 128 plus the signal's number when a signal ended the process.
     int wait()
     {
