Decide from the server list and connection attempts whether the server of a send is gone

A send to a server that has ended without a reset waited as long as its caller did. server_loss is the decision, without clock or socket: another lifetime under the id or at the address is proof, a removed entry or a joint prefill without a first event long after its forecast calls for connection attempts, and silence alone ends nothing. Attempts without an answer count only while the VM can follow the server list, refusals not for a server that leaves in an orderly way.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -25,6 +25,7 @@
 #include "cornelstall/decisions/process/reconcile.hpp"
 #include "cornelstall/decisions/process/server_directory.hpp"
 #include "cornelstall/decisions/process/server_limits.hpp"
+#include "cornelstall/decisions/process/server_loss.hpp"
 #include "cornelstall/decisions/process/shared_retry_budget.hpp"
 #include "cornelstall/decisions/process/suspect_parts.hpp"
 #include "cornelstall/decisions/request/admission.hpp"
--- a/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -98,6 +98,9 @@
 /// @brief Records that @a server refused work and wants none from this VM for @a duration.
 void record_pause(server_directory& directory, const listed_server& server, milliseconds duration, time_point now);
 
+/// @brief True when the lifetime @a server has announced that it is leaving, also after its entry was removed.
+[[nodiscard]] bool is_leaving(const server_directory& directory, const listed_server& server);
+
 /// @brief The servers of which this VM learned from their own answers, within the last @a limit, that they are leaving.
 [[nodiscard]] std::vector<leaving_server> recently_leaving(const server_directory& directory, milliseconds limit,
                                                            time_point now);
--- a/packages/decisions/src/process/server_directory.cpp
+++ b/packages/decisions/src/process/server_directory.cpp
@@ -154,6 +154,12 @@
     notice.paused_until_ = std::max(notice.paused_until_, now + std::min<milliseconds>(duration, max_pause));
 }
 
+bool is_leaving(const server_directory& directory, const listed_server& server)
+{
+    const auto* const notice = find_notice(directory, server);
+    return notice != nullptr && notice->leaving_;
+}
+
 std::vector<leaving_server> recently_leaving(const server_directory& directory, milliseconds limit, time_point now)
 {
     std::vector<leaving_server> leaving;
