Release the memory of a joint prefill when its leading engine is gone

A leading engine whose data centre went dark left its connection open without a reset.

A change of a server's entry now wakes the sends to it, and a joint prefill without a first event long after its forecast probes its leading engine with at most 16 connections. A send whose server is gone by server_loss ends as one with a lost connection does, and its reservations are released at once. The end is not held against the parts of the prompt or a new lifetime under the same id. Silence alone ends nothing. Reservations also end with the last byte of the server instead of when a slow caller has read the answer.

--- a/packages/gateway/include/cornelstall/gateway/connection/backend_socket.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/backend_socket.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cornelstall/decisions.hpp"
 #include "cornelstall/gateway/connection/caller_socket.hpp"
 
 namespace cornelstall
@@ -13,6 +14,14 @@
 [[nodiscard]] task<std::shared_ptr<backend_socket>> connect_to(executor where, std::string address,
                                                                time_point deadline);
 
+/// @brief Tries to connect to @a address and closes the connection at once.
+/// @return `not_made` when the attempt says nothing about the server
+[[nodiscard]] task<connection_attempt> try_connection(executor where, std::string address, time_point deadline);
+
+/// @brief Time since the last byte of the peer arrived, or since the connection was established; 0 while received bytes
+/// wait to be read.
+[[nodiscard]] milliseconds time_since_data(backend_socket& connection);
+
 /// @brief True when no process listens at @a address: the connection is refused before @a deadline.
 [[nodiscard]] task<bool> refuses_connections(executor where, std::string address, time_point deadline);
 
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -117,6 +117,10 @@
 /// @return `broken_off` when the caller disconnected, `out_of_time` when the time limit passed, else `may_have_run`
 [[nodiscard]] send_result record_incomplete_send(exchange& current);
 
+/// @brief True when the server or the network closed @a connection before the first event, which a crash of the server
+/// explains. False when this VM closed it.
+[[nodiscard]] bool is_lost_unanswered(const exchange& current, const backend_socket& connection);
+
 /// @brief Copies the status and the fields of a server's answer except those that concern the connection to the server.
 void copy_head(const exchange& current, const boost::beast::http::response_header<>& from,
                boost::beast::http::response_header<>& to);
--- a/packages/gateway/src/connection/deadline_socket.cpp
+++ b/packages/gateway/src/connection/deadline_socket.cpp
@@ -25,12 +25,31 @@
 /// not speaking HTTP, and the read fails.
 constexpr std::size_t max_unparsed_bytes = 65'536;
 constexpr int listen_address_error_id = 420;
+/// An attempt to connect whose end is noticed this long after its deadline says nothing: the process was paused.
+constexpr milliseconds max_attempt_lateness{100};
 
 using keepalive_idle_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using keepalive_interval_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
 using keepalive_max_probes_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 using user_timeout_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
+connection_attempt classify_attempt(const boost::system::error_code& failed, bool expired, time_point deadline)
+{
+    namespace error = boost::asio::error;
+    if (!failed)
+    {
+        return connection_attempt::accepted;
+    }
+    if (failed == error::connection_refused || failed == error::connection_reset)
+    {
+        return connection_attempt::refused;
+    }
+    const bool no_route = failed == error::host_unreachable || failed == error::network_unreachable;
+    const bool in_time = std::chrono::steady_clock::now() < deadline + max_attempt_lateness;
+    const bool unanswered = (expired && in_time) || no_route || failed == error::timed_out;
+    return unanswered ? connection_attempt::unanswered : connection_attempt::not_made;
+}
+
 }  // namespace
 
 deadline_socket::deadline_socket(tcp::socket socket)
@@ -129,19 +148,38 @@
     co_return connection;
 }
 
-task<bool> refuses_connections(executor where, std::string address, time_point deadline)
+task<connection_attempt> try_connection(executor where, std::string address, time_point deadline)
 {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint)
     {
-        co_return false;
+        co_return connection_attempt::not_made;
     }
     const auto connection = std::make_shared<backend_socket>(tcp::socket(where));
     set_close_deadline(*connection, deadline);
     boost::system::error_code failed;
     co_await connection->socket_.async_connect(*endpoint,
                                                boost::asio::redirect_error(boost::asio::use_awaitable, failed));
-    co_return failed == boost::asio::error::connection_refused || failed == boost::asio::error::connection_reset;
+    co_return classify_attempt(failed, connection->expired_, deadline);
+}
+
+milliseconds time_since_data(backend_socket& connection)
+{
+    boost::system::error_code failed;
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    const bool has_bytes = connection.socket_.available(failed) > 0 || failed;
+    if (has_bytes || ::getsockopt(connection.socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    {
+        return milliseconds{0};
+    }
+    return milliseconds{info.tcpi_last_data_recv};
+}
+
+task<bool> refuses_connections(executor where, std::string address, time_point deadline)
+{
+    const auto attempt = co_await try_connection(where, std::move(address), deadline);
+    co_return attempt == connection_attempt::refused;
 }
 
 tcp::acceptor listen_on(const executor& where, const std::string& address)
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -5,6 +5,7 @@
 
 #include "cornelstall/gateway/connection/backend_socket.hpp"
 #include "cornelstall/gateway/process/gateway_state.hpp"
+#include "request/send_watch.hpp"
 
 namespace cornelstall
 {
@@ -47,6 +48,9 @@
                    {"offset", std::to_string(at.get())},
                    {"source", source},
                    {"list_age_ms", std::to_string(server_list_age(state).count())}});
+        listed_server removed;
+        removed.id_ = id;
+        review_sends_to(state, removed);
     }
 }
 
@@ -80,6 +84,7 @@
         return;
     }
     notify_capacity_changed(state.wait_queues_);
+    review_sends_to(state, change.server_);
     log_event(severity::info, server_listed,
               change.server_.state_ == server_state::ready ? "server listed as ready" : "server listed as draining",
               {{"server", change.server_.id_.get()},
--- a/packages/gateway/src/request/relay_events.cpp
+++ b/packages/gateway/src/request/relay_events.cpp
@@ -11,6 +11,7 @@
 #include "connection/answer_reader.hpp"
 #include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
+#include "request/send_watch.hpp"
 
 namespace cornelstall
 {
@@ -183,7 +184,7 @@
 send_result record_cut_stream(exchange& current, const backend_socket& server)
 {
     const auto result = record_incomplete_send(current);
-    current.send_.lost_unanswered_ = !server.expired_ && !current.time_to_first_event_;
+    current.send_.lost_unanswered_ = is_lost_unanswered(current, server);
     if (result != send_result::broken_off)
     {
         const bool timed_out = result == send_result::out_of_time;
@@ -204,6 +205,7 @@
 {
     const auto id = last_event_id(events);
     current.last_event_id_ = id ? id : current.last_event_id_;
+    current.send_.resources_->watch_->begun_ = true;
     const auto event_gap =
         std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - current.last_event_at_);
     record_event_time(current);
@@ -231,6 +233,10 @@
         {
             co_return *taken_over;
         }
+        if (reader->parser_->is_done())
+        {
+            release_reservations(current);
+        }
         const auto last_event_end = reader->events_.rfind(event_end);
         if (last_event_end != std::string::npos)
         {
--- a/packages/gateway/src/request/send_plan.hpp
+++ b/packages/gateway/src/request/send_plan.hpp
@@ -65,16 +65,49 @@
     std::vector<std::shared_ptr<memory_lease>> leases_;
 };
 
+/// @brief What is known about the server of a send, to find out whether it is gone.
+struct send_watch
+{
+    send_watch(const exchange& current, const send_plan& plan)
+        : request_(current.parsed_request_.id_),
+          server_(plan.server_),
+          reserves_memory_(!current.send_.leases_.empty()),
+          first_event_due_(probe_due_time(std::chrono::steady_clock::now(), plan.forecast_.first_token_)),
+          timer_(current.state_.executor_)
+    {}
+
+    request_id request_;
+    listed_server server_;   ///< as listed when it was chosen
+    bool reserves_memory_;   ///< other engines hold memory for the send
+    bool begun_ = false;     ///< an event of the send has been relayed
+    bool draining_ = false;  ///< the server was listed as draining since
+    time_point first_event_due_;
+    attempt_history attempts_;
+    bool active_ = false;                ///< a task watches the send
+    const char* loss_reason_ = nullptr;  ///< why the server is known to be gone; null while it is not
+    boost::asio::steady_timer timer_;    ///< wakes the task
+};
+
 /// @brief What a send holds until it has ended or another server answers the request.
 struct send_resources
 {
     send_resources(exchange& current, const send_plan& plan, std::unique_ptr<memory_reservations> reservations)
         : registration_(std::in_place, current.state_, plan.parts_, current.send_.execution_id_),
-          reservations_(std::move(reservations))
+          reservations_(std::move(reservations)),
+          watch_(std::make_shared<send_watch>(current, plan))
     {}
+    send_resources(const send_resources&) = delete;
+    send_resources& operator=(const send_resources&) = delete;
+    send_resources(send_resources&&) = delete;
+    send_resources& operator=(send_resources&&) = delete;
+    ~send_resources()
+    {
+        watch_->timer_.cancel();
+    }
 
     std::optional<load_registration> registration_;
     std::unique_ptr<memory_reservations> reservations_;
+    std::shared_ptr<send_watch> watch_;
     std::shared_ptr<answer_reader> reader_;  ///< null until the server has accepted the connection
     bool superseded_ = false;                ///< another server answers the request
 };
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -10,6 +10,7 @@
 #include "cornelstall/gateway/process/server_notices.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
 #include "request/send_plan.hpp"
+#include "request/send_watch.hpp"
 
 namespace cornelstall
 {
@@ -111,7 +112,7 @@
                                   const boost::system::error_code& ec)
 {
     const auto result = record_incomplete_send(current);
-    current.send_.lost_unanswered_ = !connection.expired_ && !current.time_to_first_event_;
+    current.send_.lost_unanswered_ = is_lost_unanswered(current, connection);
     current.state_.metrics_.count("gateway_answers_missing_total", {{"expired", connection.expired_ ? "1" : "0"}});
     log_event(severity::info, answer_missing, ec.message(),
               {{"request", current.parsed_request_.id_.get()},
@@ -256,6 +257,7 @@
         co_return reject_answer(current, server, "not_whole");
     }
     close_socket(*reader->connection_);
+    release_reservations(current);
     ++current.possible_runs_;
     if (current.head_sent_)
     {
@@ -324,6 +326,12 @@
     return remaining_time(current).count() <= 0 ? send_result::out_of_time : send_result::may_have_run;
 }
 
+bool is_lost_unanswered(const exchange& current, const backend_socket& connection)
+{
+    return !connection.expired_ && !current.time_to_first_event_ &&
+           current.send_.resources_->watch_->loss_reason_ == nullptr;
+}
+
 void copy_head(const exchange& current, const http::response_header<>& from, http::response_header<>& to)
 {
     to.result(from.result_int());
@@ -369,6 +377,7 @@
     const auto reader = std::make_shared<answer_reader>(connection, current.state_.answer_buffers_,
                                                         current.request_.method() == http::verb::head);
     current.send_.resources_->reader_ = reader;
+    watch_send(current.state_, current.send_.resources_);
     auto silent_at = switch_time(current, max_first_byte_time(current, forecast));
     const auto taken_over = co_await read_or_switch(current, reader, read_head, silent_at);
     auto result = taken_over.value_or(send_result::may_have_run);
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -79,11 +79,11 @@
     });
 }
 
-/// Updates what this VM has observed about the server @a id.
-void record_send_result(exchange& current, const server_id& id, send_result result)
+/// Updates what this VM has observed about the lifetime @a used of a server.
+void record_send_result(exchange& current, const listed_server& used, send_result result)
 {
-    auto* const server = find_server(current.state_.directory_, id);
-    if (server == nullptr)
+    auto* const server = find_server(current.state_.directory_, used.id_);
+    if (server == nullptr || server->listed_.started_at_ms_ != used.started_at_ms_)
     {
         return;
     }
@@ -220,7 +220,7 @@
         co_await check_for_crash(current, plan.server_, sent_at);
     }
     log_send_ended(current, plan.server_.id_, name_of(result));
-    record_send_result(current, plan.server_.id_, result);
+    record_send_result(current, plan.server_, result);
     co_return result;
 }
 
--- a/tests/gateway/fake_server.hpp
+++ b/tests/gateway/fake_server.hpp
@@ -48,6 +48,7 @@
     std::vector<request> received_requests_;
     int endless_ended_ = 0;      ///< answers without end that the gateway ended by closing the connection
     int closed_by_gateway_ = 0;  ///< connections with `keep_open_` that the gateway closed
+    int accepted_ = 0;           ///< connections, including those without a request
 };
 
 /// @brief Reads one request from @a socket and sends the scripted response.
@@ -115,6 +116,7 @@
         {
             co_return;
         }
+        ++server->accepted_;
         spawn(server->executor_, "serve_connection", serve_connection(server, std::move(socket)));
     }
 }
