Decide which data centres are evacuated, and send nothing there

The state is that of the log before an offset, known_end_: a full read, a report or a record from before it changes nothing, so that no VM returns to an older state and no tombstones are kept. accepts_work() asks it, so the choice of servers, second attempts and joint prefills leave evacuated data centres out. A request that only servers there could take is refused while it is planned or waits, with reason data_centre_evacuated.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -16,6 +16,7 @@
 #include "cornelstall/decisions/process/engine_simulation.hpp"
 #include "cornelstall/decisions/process/engine_state.hpp"
 #include "cornelstall/decisions/process/engine_summary.hpp"
+#include "cornelstall/decisions/process/evacuations.hpp"
 #include "cornelstall/decisions/process/fleet_view.hpp"
 #include "cornelstall/decisions/process/lease.hpp"
 #include "cornelstall/decisions/process/limit_shares.hpp"
--- a/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
@@ -21,10 +21,13 @@
 {
     bool log_reachable_ = false;                     ///< the last read of the VM succeeded
     std::optional<milliseconds> routing_table_age_;  ///< time since its routing table was last known to be up to date
-    std::optional<milliseconds> server_list_age_;    ///< time since its server list was last known to be up to date
-    log_offset changes_begin_;                       ///< first offset covered by `changes_`
-    log_offset changes_end_;                         ///< one past the last offset covered by `changes_`
-    std::vector<server_list_change> changes_;        ///< ordered by offset
+    /// The evacuation requests in force, as old as the routing table at most. Without them the age of the routing table
+    /// says nothing about evacuations.
+    std::optional<evacuation_snapshot> evacuations_;
+    std::optional<milliseconds> server_list_age_;  ///< time since its server list was last known to be up to date
+    log_offset changes_begin_;                     ///< first offset covered by `changes_`
+    log_offset changes_end_;                       ///< one past the last offset covered by `changes_`
+    std::vector<server_list_change> changes_;      ///< ordered by offset
     log_offset server_list_end_;     ///< one past the last offset known to the VM, from the log or from other VMs
     milliseconds removal_grace_{0};  ///< removals are deferred for so long after an outage that the VM has noticed
 };
--- /dev/null
+++ b/packages/decisions/include/cornelstall/decisions/process/evacuations.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "cornelstall/value.hpp"
+
+namespace cornelstall
+{
+
+/// @brief The newest record about the evacuation of a data centre.
+struct evacuation_record
+{
+    log_offset offset_;
+    bool evacuated_ = false;  ///< false when the record removes the evacuation request
+};
+
+/// @brief The evacuation requests that are in force: those of the log's records before `known_end_`, and of later ones
+/// that a read has shown already.
+struct evacuations
+{
+    /// Removed requests are kept only while their record is not covered by `known_end_`.
+    std::map<data_centre_id, evacuation_record> records_;
+    log_offset known_end_;  ///< every record before this offset is taken into account
+    bool known_ = false;    ///< a whole read of the log or another VM's report has been applied
+};
+
+/// @brief A record about the evacuation of a data centre, with its place in the log.
+struct evacuation_entry
+{
+    data_centre_id data_centre_;
+    log_offset offset_;
+    bool evacuated_ = false;
+};
+
+/// @brief The evacuation requests that were in force at one place of the log. A request that is not listed was not in
+/// force there.
+struct evacuation_snapshot
+{
+    log_offset end_;  ///< covers every record before this offset
+    std::vector<evacuation_entry> entries_;
+};
+
+/// @brief Applies the record at @a offset. A record that is already taken into account changes nothing.
+/// @return true when the data centre became evacuated or is evacuated no longer
+bool apply_evacuation(evacuations& known, const data_centre_id& data_centre, log_offset offset, bool evacuated);
+
+/// @brief Records that all records before @a end have been applied.
+void confirm_evacuations(evacuations& known, log_offset end);
+
+/// @brief Applies a whole read of the newest records. A request that is not among them counts as removed by the offset
+/// before the end of the read. A read that ends before `known_end_` is late: only its records from there on count.
+/// @return the changes of data centres that became evacuated or are evacuated no longer
+[[nodiscard]] std::vector<evacuation_entry> apply_full_evacuation_read(evacuations& known,
+                                                                       const evacuation_snapshot& read);
+
+/// @brief Applies what another VM reported, like a whole read of the log.
+/// @return the changes of data centres that became evacuated or are evacuated no longer
+[[nodiscard]] std::vector<evacuation_entry> merge_reported(evacuations& known, const evacuation_snapshot& reported);
+
+/// @brief What this VM reports to the others.
+/// @param limit size that the entries may take in an encoded report
+/// @return nothing when nothing is known yet or the entries do not fit: a part of them would read as the removal of the
+/// others
+[[nodiscard]] std::optional<evacuation_snapshot> to_report(const evacuations& known, byte_count limit);
+
+/// @brief True when nothing may be sent to the servers of @a data_centre.
+[[nodiscard]] bool is_evacuated(const evacuations& known, const data_centre_id& data_centre);
+
+/// @brief The number of evacuated data centres.
+[[nodiscard]] std::size_t count_evacuated(const evacuations& known);
+
+}  // namespace cornelstall
--- a/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "cornelstall/decisions/process/evacuations.hpp"
 #include "cornelstall/decisions/process/server_limits.hpp"
 #include "cornelstall/value.hpp"
 
@@ -63,6 +64,7 @@
     std::map<server_id, log_offset> removed_;  ///< log offsets of removals; older entries must not undo them
     std::map<server_id, server_notice> notices_;
     server_limits limits_;
+    evacuations evacuations_;
 };
 
 /// @brief A server that this VM or another one knows to be leaving.
@@ -150,6 +152,18 @@
 [[nodiscard]] std::vector<known_server*> ready_servers(server_directory& directory, const service_id& service,
                                                        time_point now);
 
+/// @brief The servers of a service by whether a request may be sent to them.
+struct service_servers
+{
+    std::size_t accepting_ = 0;  ///< take work now
+    std::size_t paused_ = 0;     ///< take work after a pause
+    std::size_t evacuated_ = 0;  ///< would take work, now or after a pause, if their data centre were not evacuated
+};
+
+/// @brief Counts the servers of @a service that are ready and not leaving.
+[[nodiscard]] service_servers count_servers(const server_directory& directory, const service_id& service,
+                                            time_point now);
+
 /// @brief True when a server of any service is ready.
 [[nodiscard]] bool any_ready(const server_directory& directory);
 
--- a/packages/decisions/include/cornelstall/decisions/request/admission.hpp
+++ b/packages/decisions/include/cornelstall/decisions/request/admission.hpp
@@ -14,6 +14,9 @@
 /// @brief Reason id of a request that is refused because its answer would not end before the process does.
 inline constexpr const char* stopping_reason = "vm_stopping";
 
+/// @brief Reason id of a request that only servers of evacuated data centres could take.
+inline constexpr const char* evacuated_reason = "data_centre_evacuated";
+
 /// @brief What happens next with a request that has no answer yet.
 enum class admission_action
 {
@@ -33,6 +36,7 @@
     bool ends_before_stop_ = true;         ///< see ends_before_stop()
     bool caller_left_ = false;
     bool part_blocked_ = false;       ///< servers crash on a part of the prompt
+    bool evacuated_ = false;          ///< only servers of evacuated data centres could take the request
     bool reached_server_ = false;     ///< a server has had the request; it is continued rather than refused
     bool queue_full_ = false;         ///< no more requests may wait
     bool has_candidate_ = false;      ///< a server that has not been tried accepts work
--- a/packages/decisions/src/process/server_directory.cpp
+++ b/packages/decisions/src/process/server_directory.cpp
@@ -170,7 +170,8 @@
 
 bool accepts_work(const server_directory& directory, const known_server& server, time_point now)
 {
-    if (server.listed_.state_ != server_state::ready)
+    if (server.listed_.state_ != server_state::ready ||
+        is_evacuated(directory.evacuations_, server.listed_.data_centre_))
     {
         return false;
     }
@@ -193,7 +194,8 @@
         const auto* const notice = find_notice(directory, server.listed_);
         const bool was_tried = std::ranges::find(tried, server.listed_.id_) != tried.end();
         if (was_tried || server.listed_.service_ != service || server.listed_.state_ != server_state::ready ||
-            notice == nullptr || notice->leaving_ || notice->paused_until_ <= now)
+            notice == nullptr || notice->leaving_ || notice->paused_until_ <= now ||
+            is_evacuated(directory.evacuations_, server.listed_.data_centre_))
         {
             return;
         }
@@ -283,6 +285,24 @@
     return ready;
 }
 
+service_servers count_servers(const server_directory& directory, const service_id& service, time_point now)
+{
+    service_servers counts;
+    std::ranges::for_each(directory.servers_ | std::views::values, [&](const known_server& server) {
+        const auto* const notice = find_notice(directory, server.listed_);
+        if (server.listed_.service_ != service || server.listed_.state_ != server_state::ready ||
+            (notice != nullptr && notice->leaving_))
+        {
+            return;
+        }
+        const bool evacuated = is_evacuated(directory.evacuations_, server.listed_.data_centre_);
+        auto& count =
+            accepts_work(directory, server, now) ? counts.accepting_ : (evacuated ? counts.evacuated_ : counts.paused_);
+        ++count;
+    });
+    return counts;
+}
+
 bool any_ready(const server_directory& directory)
 {
     return std::ranges::any_of(directory.servers_ | std::views::values,
--- a/packages/decisions/src/request/admission.cpp
+++ b/packages/decisions/src/request/admission.cpp
@@ -52,6 +52,10 @@
     {
         return {refuse, "prompt_part_blocked"};
     }
+    if (facts.evacuated_)
+    {
+        return {refuse, evacuated_reason};
+    }
     if (!facts.has_candidate_)
     {
         return {refuse, "no_server_left"};
