--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -152,6 +152,28 @@
     return plus_1 == 0 ? std::nullopt : std::optional(milliseconds{plus_1 - 1});
 }
 
+void encode_evacuations(load::Evacuations& message, const evacuation_snapshot& snapshot)
+{
+    message.set_end(snapshot.end_.get());
+    std::ranges::for_each(snapshot.entries_, [&message](const evacuation_entry& entry) {
+        auto& written = *message.add_entries();
+        written.set_data_centre(entry.data_centre_.get());
+        written.set_at(entry.offset_.get());
+    });
+}
+
+evacuation_snapshot decode_evacuations(const load::Evacuations& message)
+{
+    evacuation_snapshot snapshot{log_offset{message.end()}, {}};
+    std::ranges::for_each(message.entries(), [&snapshot](const load::Evacuation& entry) {
+        if (!entry.data_centre().empty())
+        {
+            snapshot.entries_.push_back({data_centre_id{entry.data_centre()}, log_offset{entry.at()}, true});
+        }
+    });
+    return snapshot;
+}
+
 void encode_news(load::StoreNews& message, const log_update& news)
 {
     message.set_reached(news.log_reachable_);
@@ -162,6 +184,10 @@
     message.set_list_known(news.server_list_end_.get());
     message.set_removal_grace_ms(
         static_cast<std::uint32_t>(std::clamp<std::int64_t>(news.removal_grace_.count(), 0, max_time_ms)));
+    if (news.evacuations_)
+    {
+        encode_evacuations(*message.mutable_evacuations(), *news.evacuations_);
+    }
     std::ranges::for_each(
         news.changes_, [&message](const server_list_change& change) { encode_change(*message.add_changes(), change); });
 }
@@ -176,6 +202,10 @@
     news.changes_end_ = log_offset{message.list_next()};
     news.server_list_end_ = log_offset{message.list_known()};
     news.removal_grace_ = decode_time(message.removal_grace_ms());
+    if (message.has_evacuations())
+    {
+        news.evacuations_ = decode_evacuations(message.evacuations());
+    }
     std::ranges::transform(message.changes(), std::back_inserter(news.changes_), decode_change);
     return news;
 }
--- a/tests/wire/load_codec_test.cpp
+++ b/tests/wire/load_codec_test.cpp
@@ -121,6 +121,45 @@
 }
 
 // A forecast of a prompt of 4 billion tokens keeps the process busy, and a fleet of 4 billion VMs has too many cells.
+TEST_CASE("evacuations are reported with the end of the log that they hold for")
+{
+    auto written = report_with(30);
+    CHECK_FALSE(decode_load_report(encode_load_report(written, byte_count{1400}, now), now)->log_update_.evacuations_);
+    written.log_update_.evacuations_ = evacuation_snapshot{log_offset{7}, {}};
+    auto report = decode_load_report(encode_load_report(written, byte_count{1400}, now), now);
+    REQUIRE(report);
+    REQUIRE(report->log_update_.evacuations_);
+    CHECK(report->log_update_.evacuations_->end_ == log_offset{7});
+    CHECK(report->log_update_.evacuations_->entries_.empty());
+    evacuations known;
+    const std::string name(30, 'z');
+    constexpr std::uint64_t last_offset = (1ULL << 63U) - 1;
+    for (std::uint64_t index = 0; index < 10; ++index)
+    {
+        CHECK(apply_evacuation(known, data_centre_id{name + std::to_string(index)}, log_offset{last_offset - index},
+                               true));
+    }
+    known.known_ = true;
+    written.log_update_.evacuations_ = to_report(known, byte_count{512});
+    REQUIRE(written.log_update_.evacuations_);
+    const auto without = encode_load_report(report_with(0), byte_count{1400}, now).size();
+    auto only_evacuations = report_with(0);
+    only_evacuations.log_update_.evacuations_ = written.log_update_.evacuations_;
+    // The entries take no more room than to_report() has counted for them.
+    CHECK(encode_load_report(only_evacuations, byte_count{1400}, now).size() - without <= 512 + 16);
+    const auto bytes = encode_load_report(written, byte_count{1400}, now);
+    CHECK(bytes.size() <= 1400);
+    report = decode_load_report(bytes, now);
+    REQUIRE(report);
+    REQUIRE(report->log_update_.evacuations_);
+    REQUIRE(report->log_update_.evacuations_->entries_.size() == 10);
+    const auto& first = report->log_update_.evacuations_->entries_.front();
+    CHECK(first.data_centre_ == data_centre_id{name + "0"});
+    CHECK(first.offset_ == log_offset{last_offset});
+    CHECK(first.evacuated_);
+    CHECK_FALSE(report->work_.empty());
+}
+
 TEST_CASE("evidence about prompt parts and limits of servers is reported with ages")
 {
     auto written = report_with(0);
