Send nothing to evacuated data centres from the gateway

follow_table applies the records that the deployment's decoder names, from full reads and changes. A document from another VM no longer moves the own read beyond records that are not known; a full read that the store ends early removes nothing, does not make the VM ready and is repeated; a page that does not reach the end of the log confirms nothing, and one that begins later leads to a full read. Reports confirm evacuations only together with them.

A request that only evacuated data centres could serve gets 503 data_centre_evacuated with Retry-After at once; a prompt that fits with their engines is not called too large. A change wakes the waiting requests. Events 3025 and 3026, gauge gateway_data_centres_evacuated.

--- a/packages/gateway/include/cornelstall/gateway.hpp
+++ b/packages/gateway/include/cornelstall/gateway.hpp
@@ -10,6 +10,7 @@
 #include "cornelstall/gateway/connection/load_exchange.hpp"
 #include "cornelstall/gateway/connection/status_listener.hpp"
 #include "cornelstall/gateway/process/announce.hpp"
+#include "cornelstall/gateway/process/evacuation_list.hpp"
 #include "cornelstall/gateway/process/follow_servers.hpp"
 #include "cornelstall/gateway/process/gateway_process.hpp"
 #include "cornelstall/gateway/process/gateway_settings.hpp"
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -40,6 +40,9 @@
     /// Like `table_confirmed_at_`, from this VM's own reads only. Reports carry this one: two VMs that passed on each
     /// other's confirmations would keep them young, because each report is a little older than it says.
     std::chrono::nanoseconds table_own_confirmed_at_{0};
+    /// Boot time at which the evacuation requests were last known to be those in force. They come from the same log as
+    /// the routing table, but another VM's report may confirm the table without them.
+    std::chrono::nanoseconds evacuations_confirmed_at_{0};
     bool server_list_reachable_ = false;  ///< the last read of the server list succeeded
     server_list server_list_;
     server_directory directory_;
@@ -94,7 +97,7 @@
 /// @brief Time since the VM booted, including time in which it was suspended.
 [[nodiscard]] std::chrono::nanoseconds boot_time();
 
-/// @brief True when a configuration and the full server list have been read.
+/// @brief True when a configuration, the evacuation requests and the full server list have been read.
 [[nodiscard]] bool has_initial_data(const gateway_state& state);
 
 /// @brief True when this VM can serve callers: it has its initial data and is not stopping.
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -80,7 +80,8 @@
 /// @brief Records a confirmation, as confirm_list() does, by a read of this VM itself.
 void confirm_list_read(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at);
 
-/// @brief Records that a read of this VM itself confirmed the active routing table at @a confirmed_at.
+/// @brief Records that a read of this VM itself confirmed the active routing table and the evacuation requests at
+/// @a confirmed_at.
 void confirm_table_read(gateway_state& state, std::chrono::nanoseconds confirmed_at);
 
 /// @brief Builds the log update that this VM sends to the other VMs, and drops changes past their retention time.
--- a/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/exchange.hpp
@@ -35,6 +35,7 @@
     execution_id execution_id_;                          ///< identifies the send in load reports
     server_id server_;                                   ///< the server of the send
     std::vector<prefill_helper> helpers_;                ///< engines that prefill a part of the prompt
+    std::vector<listed_server> helper_servers_;          ///< the servers of `helpers_`
     std::vector<std::shared_ptr<memory_lease>> leases_;  ///< memory that the helpers hold
     bool lost_unanswered_ = false;                       ///< the connection was lost before the first event
     std::shared_ptr<send_resources> resources_;
@@ -177,6 +178,9 @@
 /// @brief True when a server of the service that has not been tried can be chosen.
 [[nodiscard]] bool has_untried_server(const exchange& current);
 
+/// @brief True when the request could be served if no data centre were evacuated, but not without the servers there.
+[[nodiscard]] bool needs_evacuated_servers(const exchange& current);
+
 /// @brief True when the prompt needs more KV memory than one engine has.
 [[nodiscard]] bool prompt_exceeds_engine_memory(const exchange& current);
 
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -192,6 +192,11 @@
     std::ranges::for_each(split_log_update(update, max_changes_per_datagram), [&](const log_update& part) {
         auto report = make_report(exchange, part);
         report.log_update_only_ = true;
+        if (part.evacuations_ && !part.evacuations_->entries_.empty())
+        {
+            // The changes may fill the datagram; the report of the load that follows has the evacuations.
+            report.log_update_.evacuations_.reset();
+        }
         send_to_peers(exchange, report, now,
                       [&update](const vm_peer& peer) { return peer.server_list_end_ < update.changes_end_; });
     });
--- /dev/null
+++ b/packages/gateway/src/process/evacuation_list.cpp
@@ -0,0 +1,54 @@
+#include "cornelstall/gateway/process/evacuation_list.hpp"
+
+#include <algorithm>
+
+namespace cornelstall
+{
+
+namespace
+{
+
+constexpr event_kind data_centre_evacuated{3025, "data_centre_evacuated"};
+constexpr event_kind evacuation_ended{3026, "data_centre_evacuation_ended"};
+
+void handle_change(gateway_state& state, const evacuation_entry& change, const std::string& source)
+{
+    const auto offset = std::to_string(change.offset_.get());
+    if (change.evacuated_)
+    {
+        log_event(severity::warning, data_centre_evacuated,
+                  "an operator evacuates the data centre; nothing more is sent to its servers",
+                  {{"data_centre", change.data_centre_.get()}, {"offset", offset}, {"source", source}});
+    }
+    else
+    {
+        log_event(severity::info, evacuation_ended,
+                  "the data centre is not evacuated any more; its servers are used again",
+                  {{"data_centre", change.data_centre_.get()}, {"offset", offset}, {"source", source}});
+    }
+    notify_capacity_changed(state.wait_queues_);
+}
+
+}  // namespace
+
+void apply_evacuation_record(gateway_state& state, const evacuation_entry& entry)
+{
+    if (apply_evacuation(state.directory_.evacuations_, entry.data_centre_, entry.offset_, entry.evacuated_))
+    {
+        handle_change(state, entry, log_read);
+    }
+}
+
+void apply_evacuation_read(gateway_state& state, const evacuation_snapshot& read)
+{
+    std::ranges::for_each(apply_full_evacuation_read(state.directory_.evacuations_, read),
+                          [&state](const evacuation_entry& change) { handle_change(state, change, log_read); });
+}
+
+void apply_reported_evacuations(gateway_state& state, const evacuation_snapshot& reported, const vm_id& source)
+{
+    std::ranges::for_each(merge_reported(state.directory_.evacuations_, reported),
+                          [&](const evacuation_entry& change) { handle_change(state, change, source.get()); });
+}
+
+}  // namespace cornelstall
--- a/packages/gateway/src/process/gateway_process.cpp
+++ b/packages/gateway/src/process/gateway_process.cpp
@@ -97,6 +97,8 @@
     const auto blocked =
         std::ranges::count_if(state.suspect_parts_.parts_ | std::views::values, &suspect_part::blocked_);
     state.metrics_.set("gateway_prompt_parts_blocked", {}, static_cast<double>(blocked));
+    state.metrics_.set("gateway_data_centres_evacuated", {},
+                       static_cast<double>(count_evacuated(state.directory_.evacuations_)));
     const double version = state.table_ ? static_cast<double>(state.table_->version_.get()) : 0.0;
     state.metrics_.set("gateway_routes_version", {}, version);
 }
--- a/packages/gateway/src/process/gateway_state.cpp
+++ b/packages/gateway/src/process/gateway_state.cpp
@@ -52,7 +52,7 @@
 
 bool has_initial_data(const gateway_state& state)
 {
-    return state.table_ != nullptr && state.server_list_.listed_;
+    return state.table_ != nullptr && state.directory_.evacuations_.known_ && state.server_list_.listed_;
 }
 
 bool is_ready(const gateway_state& state)
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -4,6 +4,7 @@
 #include <ranges>
 
 #include "cornelstall/gateway/connection/backend_socket.hpp"
+#include "cornelstall/gateway/process/evacuation_list.hpp"
 #include "cornelstall/gateway/process/gateway_state.hpp"
 
 namespace cornelstall
@@ -25,6 +26,9 @@
 /// A VM that lacks more changes reads them from the log. Without this limit, the registration of 3,000 servers fills
 /// the links of the VMs that receive the changes.
 constexpr std::size_t max_changes_per_update = 96;
+/// Room for evacuation requests in a load report: the names of all data centres of the largest deployment. The rest of
+/// the datagram is for the load.
+constexpr byte_count max_evacuation_bytes{512};
 /// Servers whose entries expired during an outage of the log register again within 2 s of its recovery.
 constexpr milliseconds removal_grace_period{2500};
 /// Entries expire after three missed heartbeats. A log that some VM read less than this time ago has not been
@@ -206,6 +210,7 @@
     state.table_read_at_ = boot_time();
     state.table_confirmed_at_ = std::max(state.table_confirmed_at_, confirmed_at);
     state.table_own_confirmed_at_ = std::max(state.table_own_confirmed_at_, confirmed_at);
+    state.evacuations_confirmed_at_ = std::max(state.evacuations_confirmed_at_, confirmed_at);
 }
 
 log_update make_log_update(gateway_state& state)
@@ -222,6 +227,7 @@
     {
         update.routing_table_age_ = age_of(state.table_own_confirmed_at_);
     }
+    update.evacuations_ = to_report(state.directory_.evacuations_, max_evacuation_bytes);
     if (list.listed_ && age_of(list.read_at_) < max_own_read_age)
     {
         update.server_list_age_ = age_of(list.own_confirmed_at_);
@@ -245,6 +251,14 @@
     {
         state.table_confirmed_at_ = std::max(state.table_confirmed_at_, now - *update.routing_table_age_);
     }
+    if (update.evacuations_)
+    {
+        apply_reported_evacuations(state, *update.evacuations_, source);
+    }
+    if (update.evacuations_ && update.routing_table_age_)
+    {
+        state.evacuations_confirmed_at_ = std::max(state.evacuations_confirmed_at_, now - *update.routing_table_age_);
+    }
     auto& list = state.server_list_;
     if (!list.listed_ || list.next_ < update.changes_begin_)
     {
--- a/packages/gateway/src/request/plan_request.cpp
+++ b/packages/gateway/src/request/plan_request.cpp
@@ -205,7 +205,8 @@
     step.usage_ = current_usage(current, candidates, work);
     step.order_ = order_of(current, work, step.usage_);
     step.facts_.part_blocked_ = is_part_blocked(current);
-    step.plan_ = step.facts_.part_blocked_
+    step.facts_.evacuated_ = needs_evacuated_servers(current);
+    step.plan_ = step.facts_.part_blocked_ || step.facts_.evacuated_
                      ? std::nullopt
                      : plan_send(current, work, hold.key_, min_benefit_share(step.usage_) * work.value_, now);
     auto& facts = step.facts_;
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -221,6 +221,13 @@
     {
         return "server_left_or_paused";
     }
+    const bool helpers_accept = std::ranges::all_of(current.send_.helper_servers_, [&](const listed_server& helper) {
+        return accepts_work(current.state_.directory_, helper.id_, helper.started_at_ms_, now);
+    });
+    if (!helpers_accept)
+    {
+        return "helper_left_or_paused";
+    }
     const bool memory_held = std::ranges::all_of(
         current.send_.leases_, [](const std::shared_ptr<memory_lease>& lease) { return is_held(*lease); });
     if (!memory_held)
--- a/packages/gateway/src/request/serve_request.cpp
+++ b/packages/gateway/src/request/serve_request.cpp
@@ -30,6 +30,11 @@
 /// arrive before are delayed instead of refused, because a refused caller waits longer and may not retry.
 constexpr milliseconds startup_wait{1500};
 constexpr milliseconds startup_poll_interval{20};
+/// A caller whose request only an evacuated data centre could serve returns after this time at the earliest: an
+/// evacuation lasts for minutes, and its end is known to all VMs within 5 s.
+constexpr milliseconds evacuation_retry_after{5000};
+/// Share of that time over which the callers are spread, so that they do not all return at once.
+constexpr double evacuation_retry_spread = 0.5;
 /// Time limit of a request that states none, until its route is known.
 constexpr milliseconds default_time_limit{10'000};
 
@@ -58,6 +63,14 @@
     return time_to_return(facts, std::uniform_real_distribution<double>(0.0, 1.0)(state.random_));
 }
 
+/// The time after which the caller of a request that needs evacuated servers should return.
+milliseconds return_time_after_evacuation(gateway_state& state)
+{
+    const double draw = std::uniform_real_distribution<double>(0.0, evacuation_retry_spread)(state.random_);
+    const auto spread = draw * static_cast<double>(evacuation_retry_after.count());
+    return evacuation_retry_after + milliseconds{static_cast<std::int64_t>(spread)};
+}
+
 /// Logs why a caller's connection is closed in the middle of its answer.
 void log_begun_answer_ended(const exchange& current, send_result result)
 {
@@ -99,6 +112,12 @@
         co_await send_gateway_answer(current, 503, stopping_reason, milliseconds{0});
         co_return;
     }
+    if (current.possible_runs_ == 0 && needs_evacuated_servers(current))
+    {
+        const auto retry_after = return_time_after_evacuation(current.state_);
+        co_await send_gateway_answer(current, 503, evacuated_reason, retry_after);
+        co_return;
+    }
     if (current.possible_runs_ == 0)
     {
         const char* const reason = current.sends_ > 0 ? "servers_refused" : "no_server_free";
@@ -118,15 +137,17 @@
     std::optional<milliseconds> retry_after_;
 };
 
-/// True when the prompt needs more memory than the engines that can work on one prompt have together.
+/// True when the prompt needs more memory than the engines that can work on one prompt have together. Engines of
+/// evacuated data centres count, because the prompt fits again when the evacuation ends.
 bool exceeds_service_memory(const exchange& current)
 {
     if (!current.service_->engine_)
     {
         return false;
     }
-    const auto engines =
-        ready_servers(current.state_.directory_, current.service_->id_, std::chrono::steady_clock::now()).size();
+    const auto servers =
+        count_servers(current.state_.directory_, current.service_->id_, std::chrono::steady_clock::now());
+    const auto engines = servers.accepting_ + servers.evacuated_;
     return engines > 0 && current.parsed_request_.prompt_.value_or(token_count{0}) >
                               max_joint_prompt(*current.service_->engine_, engines);
 }
@@ -173,6 +194,10 @@
     {
         return refusal{503, "prompt_too_large", std::nullopt};
     }
+    if (needs_evacuated_servers(current))
+    {
+        return refusal{503, evacuated_reason, return_time_after_evacuation(state)};
+    }
     return std::nullopt;
 }
 
@@ -264,6 +289,20 @@
                 .empty();
 }
 
+bool needs_evacuated_servers(const exchange& current)
+{
+    if (count_evacuated(current.state_.directory_.evacuations_) == 0)
+    {
+        return false;
+    }
+    const auto servers =
+        count_servers(current.state_.directory_, current.service_->id_, std::chrono::steady_clock::now());
+    const auto others = servers.accepting_ + servers.paused_;
+    const bool exceeds_others = current.service_->engine_ && current.parsed_request_.prompt_.value_or(token_count{0}) >
+                                                                 max_joint_prompt(*current.service_->engine_, others);
+    return servers.evacuated_ > 0 && (others == 0 || exceeds_others);
+}
+
 bool prompt_exceeds_engine_memory(const exchange& current)
 {
     return current.service_->engine_ &&
--- a/packages/gateway/src/request/try_servers.cpp
+++ b/packages/gateway/src/request/try_servers.cpp
@@ -104,14 +104,17 @@
 }
 
 /// Reserves the memory that @a plan needs, all or nothing, and sets the helpers of the request.
-/// @return false when an engine did not confirm its reservation, which is recorded as full, or has reached its limit
+/// @return false when an engine did not confirm its reservation, which is recorded as full, accepts no work any more or
+/// has reached its limit
 task<bool> reserve_memory(exchange& current, const send_plan& plan, memory_reservations& reservations)
 {
     for (std::size_t index = 1; index < plan.parts_.size(); ++index)
     {
         const auto& part = plan.parts_[index];
         std::string reservation;
-        if (!take_from_limit(current.state_.directory_, part.server_.id_, std::chrono::steady_clock::now()))
+        const auto now = std::chrono::steady_clock::now();
+        if (!accepts_work(current.state_.directory_, part.server_.id_, part.server_.started_at_ms_, now) ||
+            !take_from_limit(current.state_.directory_, part.server_.id_, now))
         {
             reservations.release();
             co_return false;
@@ -135,6 +138,7 @@
             current.send_.leases_.push_back(lease);
         }
         current.send_.helpers_.push_back({part.server_.address_, std::move(reservation)});
+        current.send_.helper_servers_.push_back(part.server_);
     }
     co_return true;
 }
--- a/packages/gateway/src/version/follow_table.cpp
+++ b/packages/gateway/src/version/follow_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cornelstall/gateway/connection/http_client.hpp"
+#include "cornelstall/gateway/process/evacuation_list.hpp"
 #include "cornelstall/gateway/process/read_backoff.hpp"
 #include "cornelstall/wire.hpp"
 
@@ -35,13 +36,29 @@
     gateway_state& state_;
     record_log log_;
     table_decoder decode_;
+    evacuation_decoder decode_evacuation_;
     read_backoff backoff_{initial_backoff, max_reader_backoff};
     bool log_unreachable_ = false;
     int failed_transfers_ = 0;  ///< since the last new version
 };
 
+/// The evacuation that @a record requests or removes; `std::nullopt` when the record is not about evacuations.
+std::optional<evacuation_entry> decode_evacuation(const follower& self, const keyed_record& record)
+{
+    const auto data_centre = self.decode_evacuation_ ? self.decode_evacuation_(record) : std::nullopt;
+    return data_centre ? std::optional(evacuation_entry{*data_centre, record.offset_, !record.removed_}) : std::nullopt;
+}
+
 void apply_record(follower& self, const keyed_record& record)
 {
+    if (const auto evacuation = decode_evacuation(self, record))
+    {
+        if (!evacuation->data_centre_.empty())
+        {
+            apply_evacuation_record(self.state_, *evacuation);
+        }
+        return;
+    }
     if (record.removed_)
     {
         return;
@@ -77,7 +94,8 @@
 }
 
 /// Gets the newest version from another VM.
-/// @param next raised to the offset after the record of the document
+/// @param next raised to the offset after the record of the document, but not beyond the records about evacuations that
+/// this VM knows
 /// @return true when a newer version became active
 task<bool> fetch_from_peer(follower& self, vm_id source, log_offset& next)
 {
@@ -94,7 +112,8 @@
     apply_record(self, {document->key_, document->text_, false, document->offset_});
     const bool activated = state.table_ && state.table_->version_ > version_before;
     self.failed_transfers_ += activated ? 0 : 1;
-    next = activated ? std::max(next, document->offset_.next()) : next;
+    const auto known_end = state.directory_.evacuations_.known_end_;
+    next = activated ? std::max(next, std::min(document->offset_.next(), known_end)) : next;
     co_return activated;
 }
 
@@ -119,6 +138,13 @@
 {
     auto& state = self.state_;
     std::ranges::for_each(page.records_, [&self](const keyed_record& record) { apply_record(self, record); });
+    confirm_evacuations(state.directory_.evacuations_, page.next_);
+    if (!page.records_.empty() && page.next_ < page.end_)
+    {
+        // The next read shows the records that this page had no room for.
+        state.schedule_load_report_();
+        return;
+    }
     // The log answers with an empty page only at the end of the wait, so the table was up to date at that time.
     const auto confirmed = page.records_.empty() ? std::min(boot_time(), requested_at + poll_timeout) : requested_at;
     confirm_table_read(state, confirmed);
@@ -128,6 +154,32 @@
     }
 }
 
+/// Applies a read of the newest records of all keys. Records about evacuations that are missing from a read that is not
+/// complete may still be in force.
+void apply_newest(follower& self, const record_page& page)
+{
+    std::ranges::for_each(page.records_, [&self](const keyed_record& record) { apply_record(self, record); });
+    if (!page.complete_)
+    {
+        return;
+    }
+    evacuation_snapshot read{page.next_, {}};
+    std::ranges::for_each(page.records_, [&](const keyed_record& record) {
+        const auto evacuation = decode_evacuation(self, record);
+        if (evacuation && !evacuation->data_centre_.empty())
+        {
+            read.entries_.push_back(*evacuation);
+        }
+    });
+    apply_evacuation_read(self.state_, read);
+}
+
+/// Boot time at which the table and the evacuations were both known to be the newest.
+std::chrono::nanoseconds confirmed_at(const gateway_state& state)
+{
+    return std::min(state.table_confirmed_at_, state.evacuations_confirmed_at_);
+}
+
 /// True when this VM long-polls the log for the next version. The other VMs learn of a new version from load
 /// reports.
 bool is_first_reader(const gateway_state& state)
@@ -159,7 +211,7 @@
 {
     const auto known = newest_peer_version(self.state_.peers_);
     const std::function<bool()> is_over = [&state = self.state_, known] {
-        return newest_peer_version(state.peers_) > known || !is_read_due(state, state.table_confirmed_at_);
+        return newest_peer_version(state.peers_) > known || !is_read_due(state, confirmed_at(state));
     };
     co_await wait_after_failed_read(self.state_, self.backoff_, is_over);
 }
@@ -170,7 +222,7 @@
     while (true)
     {
         const bool long_polls = is_first_reader(state);
-        const bool read_due = is_read_due(state, state.table_confirmed_at_);
+        const bool read_due = is_read_due(state, confirmed_at(state));
         if (!long_polls && !is_behind_peers(state) && !read_due)
         {
             co_await sleep_for(check_interval);
@@ -192,7 +244,8 @@
         const auto requested_at = boot_time();
         const auto page = co_await self.log_.read_from_(next, poll_timeout);
         update_reachability(self, page.reached_);
-        if (page.expired_)
+        const bool records_discarded = page.reached_ && page.first_ > next;
+        if (page.expired_ || records_discarded)
         {
             co_return;
         }
@@ -214,21 +267,24 @@
 
 }  // namespace
 
-task<> follow_table(gateway_state& state, record_log log, table_decoder decode)
+task<> follow_table(gateway_state& state, record_log log, table_decoder decode, evacuation_decoder decode_evacuation)
 {
-    follower self{state, std::move(log), std::move(decode)};
+    follower self{state, std::move(log), std::move(decode), std::move(decode_evacuation)};
     while (true)
     {
         const auto requested_at = boot_time();
         const auto full_read = co_await self.log_.read_newest_();
         update_reachability(self, full_read.reached_);
-        if (!full_read.reached_)
+        if (full_read.reached_)
+        {
+            apply_newest(self, full_read);
+        }
+        if (!full_read.reached_ || !full_read.complete_)
         {
             co_await back_off(self);
             continue;
         }
         reset(self.backoff_);
-        std::ranges::for_each(full_read.records_, [&self](const keyed_record& record) { apply_record(self, record); });
         confirm_table_read(state, requested_at);
         state.schedule_load_report_();
         co_await follow_changes(self, full_read.next_);
--- a/tests/gateway/follow_table_test.cpp
+++ b/tests/gateway/follow_table_test.cpp
@@ -148,3 +148,172 @@
     CHECK_FALSE(half_of_delay_passed);
     CHECK(peer_server->received_requests_.size() == 1);
 }
+
+namespace
+{
+
+/// A log with several records, which shows a part of the newest ones while it is faulty.
+struct fake_operator_topic
+{
+    std::vector<keyed_record> records_;  ///< each at the offset of its index
+    std::size_t hidden_ = 0;             ///< records at the end that a faulty read of the newest ones leaves out
+    std::size_t first_ = 0;              ///< records before this one have been discarded
+    int newest_reads_ = 0;
+    std::size_t lowest_read_ = 1000;  ///< lowest offset that changes were asked from
+
+    void add(const std::string& key, const std::string& value)
+    {
+        records_.push_back({key, value, value.empty(), log_offset{records_.size()}});
+    }
+
+    record_log open()
+    {
+        record_log log;
+        log.read_newest_ = [this]() {
+            return read_newest(this);
+        };
+        log.read_from_ = [this](log_offset from, milliseconds wait) {
+            return read_from(this, from, wait);
+        };
+        return log;
+    }
+
+  private:
+    static task<record_page> read_newest(fake_operator_topic* self)
+    {
+        ++self->newest_reads_;
+        std::map<std::string, keyed_record> newest;
+        std::ranges::for_each(self->records_, [&newest](const keyed_record& record) { newest[record.key_] = record; });
+        std::erase_if(newest, [](const auto& entry) { return entry.second.removed_; });
+        record_page page;
+        page.reached_ = true;
+        page.complete_ = self->hidden_ == 0;
+        for (const auto& [key, record] : newest)
+        {
+            if (page.records_.size() + self->hidden_ < newest.size())
+            {
+                page.records_.push_back(record);
+            }
+        }
+        page.next_ = log_offset{self->records_.size()};
+        co_await sleep_for(milliseconds{5});
+        co_return page;
+    }
+
+    static task<record_page> read_from(fake_operator_topic* self, log_offset from, milliseconds wait)
+    {
+        self->lowest_read_ = std::min<std::size_t>(self->lowest_read_, from.get());
+        record_page page;
+        page.reached_ = true;
+        page.first_ = std::max(from, log_offset{self->first_});
+        page.end_ = log_offset{self->records_.size()};
+        page.next_ = page.first_;
+        // One record a page, so that a read seldom reaches the end of the log.
+        if (page.next_ < page.end_)
+        {
+            page.records_.push_back(self->records_[page.next_.get()]);
+            page.next_ = page.next_.next();
+            co_await sleep_for(milliseconds{5});
+        }
+        else
+        {
+            co_await sleep_for(std::min(wait, milliseconds{50}));
+        }
+        co_return page;
+    }
+};
+
+/// Keys `out/NAME` evacuate the data centre NAME.
+std::optional<data_centre_id> decode_out(const keyed_record& record)
+{
+    return record.key_.starts_with("out/") ? std::optional(data_centre_id{record.key_.substr(4)}) : std::nullopt;
+}
+
+bool is_out(const gateway_fixture& gateway, const std::string& data_centre)
+{
+    return is_evacuated(gateway.state_.directory_.evacuations_, data_centre_id{data_centre});
+}
+
+void follow(gateway_fixture& gateway, fake_operator_topic& topic)
+{
+    gateway.state_.directory_.evacuations_.known_ = false;
+    spawn(gateway.state_.executor_, "follow_table",
+          follow_table(gateway.state_, topic.open(), decode_version, decode_out));
+}
+
+}  // namespace
+
+TEST_CASE("evacuations are read from the log, at the start and as they change")
+{
+    gateway_fixture gateway;
+    fake_operator_topic topic;
+    topic.add("out/a", "{}");
+    topic.add("config", "1");
+    topic.add("out/b", "{}");
+    topic.add("out/b", "");
+    topic.add("out/", "{}");
+    follow(gateway, topic);
+    REQUIRE(gateway.run_until([&gateway] { return is_ready(gateway.state_); }));
+    CHECK(is_out(gateway, "a"));
+    CHECK_FALSE(is_out(gateway, "b"));
+    CHECK(count_evacuated(gateway.state_.directory_.evacuations_) == 1);
+    topic.add("out/b", "{}");
+    topic.add("out/a", "");
+    REQUIRE(gateway.run_until([&gateway] { return is_out(gateway, "b") && !is_out(gateway, "a"); }));
+    CHECK(gateway.state_.table_->version_ == configuration_version{1});
+}
+
+// Guards against a VM that takes the rest of a page for removed, or serves without knowing it.
+TEST_CASE("a partial read of the newest records neither removes an evacuation nor makes the VM ready")
+{
+    gateway_fixture gateway;
+    fake_operator_topic topic;
+    topic.add("config", "1");
+    topic.add("out/a", "{}");
+    topic.add("out/b", "{}");
+    topic.hidden_ = 1;
+    follow(gateway, topic);
+    REQUIRE(gateway.run_until([&topic] { return topic.newest_reads_ >= 3; }));
+    CHECK(is_out(gateway, "a"));
+    CHECK_FALSE(is_ready(gateway.state_));
+    topic.hidden_ = 0;
+    REQUIRE(gateway.run_until([&gateway] { return is_ready(gateway.state_); }));
+    CHECK(is_out(gateway, "a"));
+    CHECK(is_out(gateway, "b"));
+}
+
+TEST_CASE("a removal that the log has discarded is noticed")
+{
+    gateway_fixture gateway;
+    fake_operator_topic topic;
+    topic.add("config", "1");
+    topic.add("out/a", "{}");
+    follow(gateway, topic);
+    REQUIRE(gateway.run_until([&gateway] { return is_ready(gateway.state_) && is_out(gateway, "a"); }));
+    topic.add("out/a", "");
+    topic.add("other", "1");
+    topic.first_ = topic.records_.size();
+    REQUIRE(gateway.run_until([&gateway] { return !is_out(gateway, "a"); }));
+    CHECK(topic.newest_reads_ >= 2);
+}
+
+// Guards against a VM that goes on reading after the document and so never sees an evacuation before it.
+TEST_CASE("an evacuation before a configuration that another VM passed on is not missed")
+{
+    gateway_fixture gateway;
+    fake_operator_topic topic;
+    topic.add("config", "1");
+    const auto peer_server = gateway.add_server([](const auto&) {
+        return scripted_response{
+            response_with(encode_document({configuration_version{2}, log_offset{2}, "config", "2"})), false};
+    });
+    add_ahead_peers(gateway, *peer_server, configuration_version{1});
+    follow(gateway, topic);
+    REQUIRE(gateway.run_until([&gateway] { return is_ready(gateway.state_); }));
+    topic.add("out/a", "{}");
+    topic.add("config", "2");
+    add_ahead_peers(gateway, *peer_server, configuration_version{2});
+    REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_->version_ == configuration_version{2}; }));
+    REQUIRE(peer_server->received_requests_.size() == 1);
+    REQUIRE(gateway.run_until([&gateway] { return is_out(gateway, "a"); }));
+}
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -112,6 +112,7 @@
           acceptor_(listen_on(io_.get_executor(), "127.0.0.1:0"))
     {
         state_.server_list_.listed_ = true;
+        state_.directory_.evacuations_.known_ = true;
         spawn(state_.executor_, "accept_callers", accept_callers(state_, acceptor_));
     }
     gateway_fixture(const gateway_fixture&) = delete;
--- a/tests/gateway/stop_fixture.hpp
+++ b/tests/gateway/stop_fixture.hpp
@@ -40,6 +40,7 @@
     entry.slots_ = 1000;
     upsert_listed_server(state.directory_, entry, log_offset{1}, std::chrono::steady_clock::now());
     state.server_list_.listed_ = true;
+    state.directory_.evacuations_.known_ = true;
     servers.push_back(server);
 }
 
