Decode evacuation requests of the platform's store

A read of the newest records that the store ends early is marked as not complete, and a read of changes states which part of the log it shows. bounds.evacuate_ms counts for the age at which VMs read the log themselves; at 5,000 ms it changes nothing.

test_platform passes.

--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -144,6 +144,45 @@
     CHECK(platform::decode_records(bytes.substr(0, bytes.size() - 1), log_offset{10}).next_ == log_offset{11});
 }
 
+TEST_CASE("the key of an evacuation names the data centre, and odd names name none")
+{
+    using platform::decode_evacuated_data_centre;
+    CHECK(decode_evacuated_data_centre("evacuate/z-a") == data_centre_id{"z-a"});
+    CHECK(decode_evacuated_data_centre("evacuate/z/a b") == data_centre_id{"z/a b"});
+    CHECK(decode_evacuated_data_centre("evacuate/" + std::string(256, 'z')) == data_centre_id{std::string(256, 'z')});
+    const auto unusable = GENERATE(as<std::string>{}, "evacuate/", "evacuate/" + std::string(257, 'z'),
+                                   "evacuate/z\xff", "evacuate/\xc3");
+    const auto decoded = decode_evacuated_data_centre(unusable);
+    REQUIRE(decoded);
+    CHECK(decoded->empty());
+    const auto other = GENERATE(as<std::string>{}, "config", "", "evacuate", "Evacuate/z", "x/evacuate/z");
+    CHECK_FALSE(decode_evacuated_data_centre(other));
+}
+
+TEST_CASE("a bound on evacuations that is tighter than the others sets the age of the data")
+{
+    const auto with_bound = [](const std::string& bound) {
+        auto text = settings_text;
+        text.replace(text.find("revoke_ms"), 0, "drain_ms = 3000\nconfig_apply_ms = 3000\n" + bound);
+        return platform::decode_settings(text).gateway_.staleness_bound_;
+    };
+    CHECK(with_bound("") == milliseconds{3000});
+    CHECK(with_bound("evacuate_ms = 5000\n") == milliseconds{3000});
+    CHECK(with_bound("evacuate_ms = 2500\n") == milliseconds{2500});
+}
+
+// A read of changes that does not reach the end of the log confirms nothing, and one that begins later has lost
+// records.
+TEST_CASE("a read of changes states which part of the log it shows")
+{
+    const auto bytes = encode_offset(12) + encode_offset(9) + encode_record("a", "1");
+    const auto page = platform::decode_records(bytes, log_offset{4});
+    CHECK(page.first_ == log_offset{9});
+    CHECK(page.next_ == log_offset{10});
+    CHECK(page.end_ == log_offset{12});
+    CHECK(platform::decode_records(bytes, log_offset{11}).first_ == log_offset{11});
+}
+
 // Without the replacement a caller could send requests in the name of another tenant, or name engines as helpers.
 TEST_CASE("fields of a caller that only the gateway may set are replaced")
 {
--- a/tests/platform/endless_store_answers_test.cpp
+++ b/tests/platform/endless_store_answers_test.cpp
@@ -74,6 +74,31 @@
     CHECK(page->records_.size() == 20);
 }
 
+// A reader that took such an answer for the whole would take the missing keys for removed.
+TEST_CASE("a read of the newest records that the store ends early is marked as not complete")
+{
+    gateway_fixture gateway;
+    const bool ends_early = GENERATE(true, false);
+    const auto store = gateway.add_server([ends_early](const auto& message) {
+        const bool first = message.target().find("after") == std::string::npos;
+        const auto body = ends_early && !first ? R"({"end":9,"has_more":true,"items":[]})"
+                          : first              ? newest_page(1, "AAAA")
+                                               : R"({"end":9,"has_more":false,"items":[]})";
+        return scripted_response{http_answer_text(body), false};
+    });
+    const auto log = platform::open_topic(gateway.state_.executor_, store->address(), "servers");
+    std::optional<record_page> page;
+    const auto read = [](record_log from, std::optional<record_page>& result) -> task<> {
+        auto received = co_await from.read_newest_();
+        result = std::move(received);
+    };
+    spawn(gateway.state_.executor_, "read", read(log, page));
+    REQUIRE(gateway.run_until([&page] { return page.has_value(); }));
+    CHECK(page->reached_);
+    CHECK(page->records_.size() == 1);
+    CHECK(page->complete_ == !ends_early);
+}
+
 TEST_CASE("a call to the store ends when its answer does not")
 {
     const std::string filler(65536, 'x');
