Wait between reads that do not show a version that another VM has

The wait after a read ended at once when the read itself had confirmed the table, so a VM that was behind a version of a VM gone silent read the log again and again without a pause. Found by reading. The wait now ends only when other VMs have confirmed more since it began.

Also follows the linter in a test, and the constructor of an exchange.

--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -36,8 +36,9 @@
 /// Waits after a failed read. Reports of other VMs that have read the list since end the wait.
 task<> back_off(follower& self)
 {
-    const std::function<bool()> is_over = [&state = self.state_] {
-        return !is_read_due(state, state.server_list_.confirmed_at_);
+    const auto confirmed_before = self.state_.server_list_.confirmed_at_;
+    const std::function<bool()> is_over = [&list = self.state_.server_list_, confirmed_before] {
+        return list.confirmed_at_ > confirmed_before;
     };
     co_await wait_after_failed_read(self.state_, self.backoff_, is_over);
 }
--- a/packages/gateway/src/version/follow_table.cpp
+++ b/packages/gateway/src/version/follow_table.cpp
@@ -210,8 +210,9 @@
 task<> back_off(follower& self)
 {
     const auto known = newest_peer_version(self.state_.peers_);
-    const std::function<bool()> is_over = [&state = self.state_, known] {
-        return newest_peer_version(state.peers_) > known || !is_read_due(state, confirmed_at(state));
+    const auto confirmed_before = confirmed_at(self.state_);
+    const std::function<bool()> is_over = [&state = self.state_, known, confirmed_before] {
+        return newest_peer_version(state.peers_) > known || confirmed_at(state) > confirmed_before;
     };
     co_await wait_after_failed_read(self.state_, self.backoff_, is_over);
 }
--- a/tests/decisions/server_loss_test.cpp
+++ b/tests/decisions/server_loss_test.cpp
@@ -54,7 +54,8 @@
 
 std::vector<connection_attempt> unanswered(std::size_t count)
 {
-    return std::vector<connection_attempt>(count, connection_attempt::unanswered);
+    std::vector<connection_attempt> attempts(count, connection_attempt::unanswered);
+    return attempts;
 }
 
 send_step step_of(const observed_send& send, const attempt_history& history)
--- a/tests/gateway/evacuation_test.cpp
+++ b/tests/gateway/evacuation_test.cpp
@@ -368,7 +368,7 @@
     const auto send = [](gateway_fixture& where, listed_server to,
                          std::shared_ptr<std::vector<send_result>> results) -> task<> {
         boost::asio::ip::tcp::socket unconnected(where.state_.executor_);
-        exchange current(where.state_, std::make_shared<caller_socket>(std::move(unconnected)), {});
+        exchange current(where.state_, std::make_shared<caller_socket>(std::move(unconnected)), {}, nullptr);
         current.table_ = where.state_.table_;
         current.route_ = find_route(*current.table_, "h", "/r/x");
         current.service_ = &current.table_->services_.at(service_id{"s"});
--- a/tests/gateway/follow_table_test.cpp
+++ b/tests/gateway/follow_table_test.cpp
@@ -121,6 +121,26 @@
     CHECK(peer_server->received_requests_.size() == 4);
 }
 
+// Guards against reads of the log one after the other, without a pause, while a version that another VM has reported is
+// nowhere to be had.
+TEST_CASE("a VM waits between reads that do not show a version that a silent VM has reported")
+{
+    gateway_fixture gateway;
+    fake_configuration_topic topic;
+    const auto peer_server = gateway.add_server([](const auto&) { return scripted_response{"no answer", false}; });
+    spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, topic.open(), decode_version));
+    REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_ != nullptr; }));
+    add_ahead_peers(gateway, *peer_server, configuration_version{1});
+    gateway.state_.peers_.peers_[vm_id{"vm-9"}].version_ = configuration_version{2};
+    const int reads_before = topic.reads_;
+    bool passed = false;
+    boost::asio::steady_timer period(gateway.state_.executor_, milliseconds{1000});
+    period.async_wait([&passed](const boost::system::error_code&) { passed = true; });
+    REQUIRE(gateway.run_until([&passed] { return passed; }));
+    // Delays of 100, 200, 400 and 500 ms, and the reads that were due anyway.
+    CHECK(topic.reads_ - reads_before <= 8);
+}
+
 // Guards against a VM that sleeps between failed reads and serves an old version meanwhile, although other VMs have
 // reported a newer one.
 TEST_CASE("a VM that waits after failed reads gets a version that other VMs report meanwhile")
