--- a/tests/gateway/gone_server_test.cpp
+++ b/tests/gateway/gone_server_test.cpp
@@ -124,7 +124,7 @@
 /// Three engines, a joint prefill on two of them, and the caller that waits for it.
 struct joint_prefill_fixture
 {
-    explicit joint_prefill_fixture(std::function<scripted_response()> answer)
+    explicit joint_prefill_fixture(const std::function<scripted_response()>& answer)
     {
         gateway_.activate_route(long_route(), small_engine());
         for (int index = 0; index < 3; ++index)
