Do not refuse a body as stalled while the process does not read it

Sound callers could be refused with 503 under a crowd of large bodies: reading pauses while the budget is used up, and a body paused for 250 ms counted as stalled, so that another one had it refused. Found by reading.

A body that asks for memory has sent all that was read, so asking counts as progress. A body that finds no room for 1 s is still refused itself, so a budget full of paused bodies becomes free.

--- a/packages/decisions/src/process/body_memory.cpp
+++ b/packages/decisions/src/process/body_memory.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-/// Bodies up to this size may draw on the part of the budget that larger ones must leave free. A prompt of 50,000
-/// tokens is smaller.
+/// Bodies up to this size may draw on the part of the budget that larger ones must leave free: prompts that do not
+/// count as long, at four bytes a token.
 constexpr byte_count small_body{64ULL * 1024};
 /// The part of the budget that is kept for small bodies: a quarter.
 constexpr std::uint64_t small_body_share = 4;
@@ -62,6 +62,8 @@
         body.progressed_at_ = now;
         return {true, std::nullopt};
     }
+    // The caller has sent all that was read. It must not count as stalled while the process does not read on.
+    body.progressed_at_ = now;
     return {false, choose_stalled(memory, id, now)};
 }
 
--- a/tests/decisions/body_memory_test.cpp
+++ b/tests/decisions/body_memory_test.cpp
@@ -140,6 +140,21 @@
     CHECK(growth.refuse_ == stalled);
 }
 
+// Guards against sound uploads that are refused as stalled because reading them is paused for lack of memory.
+TEST_CASE("a body whose reading is paused is not refused as stalled")
+{
+    auto memory = memory_of(8);
+    const auto paused = open_body(memory, start);
+    const auto sound = open_body(memory, start);
+    fill(memory, paused, byte_count{3ULL * 1024 * 1024}, start);
+    fill(memory, sound, largest_body, start);
+    for (auto now = start; now < start + std::chrono::seconds{1}; now += ask_interval)
+    {
+        REQUIRE_FALSE(grow_body(memory, paused, block, now).granted_);
+        CHECK_FALSE(grow_body(memory, sound, block, now).refuse_);
+    }
+}
+
 TEST_CASE("complete bodies are never refused for others")
 {
     auto memory = memory_of(8);
