--- a/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
@@ -78,8 +78,8 @@
 /// @brief Adds @a delay to the ages in @a report, so that they hold at the time when the report is handled.
 void add_delay(load_report& report, milliseconds delay);
 
-/// @brief Splits @a report so that each part has at most @a work_per_part requests. A VM that is sent only some of the
-/// requests takes the engines of the others for free.
+/// @brief Splits @a report so that each part has at most @a work_per_part requests. All requests have to be reported:
+/// engines whose requests a VM does not know look free to it.
 [[nodiscard]] std::vector<load_report> split_work(load_report report, std::size_t work_per_part);
 
 /// @brief Applies @a report to @a peers and @a load. What a report in several parts does not list any more is removed
--- a/packages/decisions/include/cornelstall/decisions/process/body_memory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/body_memory.hpp
@@ -34,8 +34,8 @@
 struct body_growth
 {
     bool granted_ = false;
-    std::optional<body_id>
-        refuse_;  ///< a stalled body to refuse, so that its memory becomes free; none when all progress
+    /// A stalled body to refuse, so that its memory becomes free; nothing when the body may grow or none is stalled.
+    std::optional<body_id> refuse_;
 };
 
 /// @brief Adds a body that holds nothing yet.
--- a/packages/decisions/src/process/engine_simulation.cpp
+++ b/packages/decisions/src/process/engine_simulation.cpp
@@ -13,19 +13,10 @@
 namespace
 {
 
-/// Weighted tokens that raise the value of a request by 1; the base value is 1.
-constexpr double tokens_per_value_unit = 25000.0;
-/// A generated token costs an engine as much as this many prompt tokens.
-constexpr double prompt_tokens_per_answer_token = 10.0;
 /// Spread of the forecast error as a fraction of the limit; sets the width of the logistic curve for being in time.
 constexpr double forecast_error_share = 0.15;
 /// Fraction of the value that is left once the target is missed; it decreases further with the delay.
 constexpr double late_value_share = 0.2;
-/// Callers abandon a stream after the longest of three times: a fixed one, a multiple of the target time to first token
-/// and a multiple of the maximum gap between events.
-constexpr milliseconds min_abandon_timeout{2000};
-constexpr int abandon_target_factor = 4;
-constexpr int abandon_gap_factor = 8;
 /// Limit of a forecast: no target is longer, and an engine that needs more time is unsuitable.
 constexpr std::chrono::seconds max_forecast{60};
 /// Smaller probabilities count as 0; otherwise they would add up over the passes of a long prefill.
@@ -302,18 +293,6 @@
 
 }  // namespace
 
-milliseconds abandon_timeout(milliseconds target, milliseconds max_gap)
-{
-    return std::max({min_abandon_timeout, target * abandon_target_factor, max_gap * abandon_gap_factor});
-}
-
-double request_value(token_count prompt, token_count answer)
-{
-    return 1.0 +
-           (static_cast<double>(prompt.get()) + prompt_tokens_per_answer_token * static_cast<double>(answer.get())) /
-               tokens_per_value_unit;
-}
-
 double expected_value(const engine_work& request, double after_ms)
 {
     const auto target = static_cast<double>(request.target_.count());
--- a/packages/gateway/include/cornelstall/gateway/process/record_log.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/record_log.hpp
@@ -26,8 +26,8 @@
     bool expired_ = false;  ///< the log no longer has the requested records
     bool complete_ = true;  ///< false when the log has more of the newest records but did not send them
     std::vector<keyed_record> records_;
-    log_offset
-        first_;  ///< first offset covered by a read of changes; above the requested one when records were discarded
+    /// First offset covered by a read of changes; above the requested one when records were discarded.
+    log_offset first_;
     log_offset next_;  ///< one past the last offset covered by this read
     log_offset end_;   ///< one past the last offset of the log when it answered; 0 when not stated
 };
--- a/packages/runtime/include/cornelstall/runtime/connection/caller_bounds.hpp
+++ b/packages/runtime/include/cornelstall/runtime/connection/caller_bounds.hpp
@@ -6,8 +6,8 @@
 namespace cornelstall
 {
 
-/// @brief The default bound on connections with TLS, which take 73 KB each (measured with 2,000 idle ones): together
-/// 150 MB of the 256 MB that an entry process may take.
+/// @brief The default bound on connections with TLS. An idle one takes 73 KB: all together 150 MB of the 256 MB that an
+/// entry process may take.
 inline constexpr int default_tls_connections = 2048;
 
 /// @brief Bounds on what callers' connections may take of an entry process. Docs: docs/configuration.md.
--- a/tests/gateway/evacuation_test.cpp
+++ b/tests/gateway/evacuation_test.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/wire.hpp"
-#include "gateway/gateway_fixture.hpp"
+#include "gateway/placed_requests.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -22,17 +22,6 @@
     return matched;
 }
 
-engine_profile engine()
-{
-    engine_profile values;
-    values.slots_ = 4;
-    values.kv_capacity_ = token_count{100000};
-    values.prefill_tokens_per_ms_ = 154;
-    values.decode_steps_per_pass_ = 34;
-    values.mean_output_tokens_ = token_count{100};
-    return values;
-}
-
 std::shared_ptr<fake_server> add_server_in(gateway_fixture& gateway, const data_centre_id& data_centre,
                                            std::function<scripted_response(const fake_server::request&)> script)
 {
@@ -70,7 +59,7 @@
     std::uint64_t key = 1000;
     for (const auto& [id, server] : gateway.state_.directory_.servers_)
     {
-        for (int slot = 0; slot < engine().slots_; ++slot)
+        for (int slot = 0; slot < small_engine().slots_; ++slot)
         {
             engine_work work;
             work.key_ = execution_id{++key};
@@ -161,7 +150,7 @@
 TEST_CASE("a prompt that only the engines of an evacuated data centre could hold is refused because of the evacuation")
 {
     gateway_fixture gateway;
-    gateway.activate_route(route_of(request_kind::non_idempotent), engine());
+    gateway.activate_route(route_of(request_kind::non_idempotent), small_engine());
     for (const auto& data_centre : {here, here, elsewhere})
     {
         add_server_in(gateway, data_centre, [](const auto&) { return plain_response("200 OK", "a"); });
@@ -269,7 +258,7 @@
     auto matched = route_of(request_kind::non_idempotent);
     matched.latency_target_ = milliseconds{8000};
     matched.timeout_ = milliseconds{20000};
-    gateway.activate_route(matched, engine());
+    gateway.activate_route(matched, small_engine());
     for (int index = 0; index < 4; ++index)
     {
         add_server_in(gateway, here, [](const auto&) { return plain_response("200 OK", "a"); });
@@ -297,7 +286,7 @@
 TEST_CASE("a joint prefill whose data centre is evacuated while its memory is reserved is not sent")
 {
     gateway_fixture gateway;
-    gateway.activate_route(route_of(request_kind::non_idempotent), engine());
+    gateway.activate_route(route_of(request_kind::non_idempotent), small_engine());
     for (int index = 0; index < 3; ++index)
     {
         add_server_in(gateway, here, [&gateway](const auto& message) {
@@ -326,7 +315,7 @@
 TEST_CASE("a joint prefill is not sent when the data centre of a helper is evacuated after its memory was reserved")
 {
     gateway_fixture gateway;
-    gateway.activate_route(route_of(request_kind::non_idempotent), engine());
+    gateway.activate_route(route_of(request_kind::non_idempotent), small_engine());
     std::optional<std::size_t> evacuated;
     for (std::size_t index = 0; index < 4; ++index)
     {
@@ -365,26 +354,13 @@
     const auto server = add_server_in(gateway, here, [](const auto&) { return plain_response("200 OK", "a"); });
     const auto entry = gateway.state_.directory_.servers_.at(server_id{"server-0"}).listed_;
     auto ends = std::make_shared<std::vector<send_result>>();
-    const auto send = [](gateway_fixture& where, listed_server to,
-                         std::shared_ptr<std::vector<send_result>> results) -> task<> {
-        boost::asio::ip::tcp::socket unconnected(where.state_.executor_);
-        exchange current(where.state_, std::make_shared<caller_socket>(std::move(unconnected)), {}, nullptr);
-        current.table_ = where.state_.table_;
-        current.route_ = find_route(*current.table_, "h", "/r/x");
-        current.service_ = &current.table_->services_.at(service_id{"s"});
-        current.watch_ = std::make_shared<caller_watch>();
-        current.arrived_ = std::chrono::steady_clock::now();
-        set_deadline(current, milliseconds{1000});
-        const auto result = co_await send_to_server(current, std::move(to), {});
-        results->push_back(result);
-    };
     const auto evacuate_now = [](gateway_fixture& where) -> task<> {
         evacuate(where, here, 1);
         co_return;
     };
     for (int request = 0; request < 5; ++request)
     {
-        spawn(gateway.state_.executor_, "send", send(gateway, entry, ends));
+        spawn(gateway.state_.executor_, "send_directly", send_directly(gateway, entry, ends));
     }
     spawn(gateway.state_.executor_, "evacuate", evacuate_now(gateway));
     REQUIRE(gateway.run_until([ends] { return ends->size() == 5; }));
--- a/tests/gateway/follow_table_test.cpp
+++ b/tests/gateway/follow_table_test.cpp
@@ -9,6 +9,20 @@
 namespace
 {
 
+/// The log that @a topic plays.
+template <class Topic>
+record_log open(Topic& topic)
+{
+    record_log log;
+    log.read_newest_ = [&topic]() {
+        return Topic::read_newest(&topic);
+    };
+    log.read_from_ = [&topic](log_offset from, milliseconds wait) {
+        return Topic::read_from(&topic, from, wait);
+    };
+    return log;
+}
+
 /// A configuration log that counts its reads and holds one record.
 struct fake_configuration_topic
 {
@@ -16,19 +30,6 @@
     bool reachable_ = true;
     int reads_ = 0;
 
-    record_log open()
-    {
-        record_log log;
-        log.read_newest_ = [this]() {
-            return read_newest(this);
-        };
-        log.read_from_ = [this](log_offset from, milliseconds wait) {
-            return read_from(this, from, wait);
-        };
-        return log;
-    }
-
-  private:
     static task<record_page> read_newest(fake_configuration_topic* self)
     {
         ++self->reads_;
@@ -98,7 +99,7 @@
         return scripted_response{
             response_with(encode_document({configuration_version{2}, log_offset{1}, "config", "2"})), false};
     });
-    spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, topic.open(), decode_version));
+    spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, open(topic), decode_version));
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_ != nullptr; }));
     topic.reachable_ = false;
     add_ahead_peers(gateway, *peer_server, configuration_version{2});
@@ -113,7 +114,7 @@
     const auto answer = GENERATE(as<std::string>{}, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
                                  "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n\xff\xff\xff\xff", "no answer");
     const auto peer_server = gateway.add_server([answer](const auto&) { return scripted_response{answer, false}; });
-    spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, topic.open(), decode_version));
+    spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, open(topic), decode_version));
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_ != nullptr; }));
     topic.record_ = {"config", "2", false, log_offset{1}};
     add_ahead_peers(gateway, *peer_server, configuration_version{2});
@@ -128,7 +129,7 @@
     gateway_fixture gateway;
     fake_configuration_topic topic;
     const auto peer_server = gateway.add_server([](const auto&) { return scripted_response{"no answer", false}; });
-    spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, topic.open(), decode_version));
+    spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, open(topic), decode_version));
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_ != nullptr; }));
     add_ahead_peers(gateway, *peer_server, configuration_version{1});
     gateway.state_.peers_.peers_[vm_id{"vm-9"}].version_ = configuration_version{2};
@@ -151,7 +152,7 @@
         return scripted_response{
             response_with(encode_document({configuration_version{2}, log_offset{1}, "config", "2"})), false};
     });
-    spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, topic.open(), decode_version));
+    spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, open(topic), decode_version));
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_ != nullptr; }));
     topic.reachable_ = false;
     add_ahead_peers(gateway, *peer_server, configuration_version{1});
@@ -186,19 +187,6 @@
         records_.push_back({key, value, value.empty(), log_offset{records_.size()}});
     }
 
-    record_log open()
-    {
-        record_log log;
-        log.read_newest_ = [this]() {
-            return read_newest(this);
-        };
-        log.read_from_ = [this](log_offset from, milliseconds wait) {
-            return read_from(this, from, wait);
-        };
-        return log;
-    }
-
-  private:
     static task<record_page> read_newest(fake_operator_topic* self)
     {
         ++self->newest_reads_;
@@ -258,7 +246,7 @@
 {
     gateway.state_.directory_.evacuations_.known_ = false;
     spawn(gateway.state_.executor_, "follow_table",
-          follow_table(gateway.state_, topic.open(), decode_version, decode_out));
+          follow_table(gateway.state_, open(topic), decode_version, decode_out));
 }
 
 }  // namespace
--- a/tests/gateway/gone_server_test.cpp
+++ b/tests/gateway/gone_server_test.cpp
@@ -5,7 +5,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "gateway/gateway_fixture.hpp"
+#include "gateway/placed_requests.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -18,17 +18,6 @@
 /// Longer than a test waits for the release of memory.
 constexpr milliseconds long_timeout{60'000};
 
-engine_profile small_engine()
-{
-    engine_profile values;
-    values.slots_ = 4;
-    values.kv_capacity_ = token_count{100000};
-    values.prefill_tokens_per_ms_ = 154;
-    values.decode_steps_per_pass_ = 34;
-    values.mean_output_tokens_ = token_count{100};
-    return values;
-}
-
 route long_route(request_kind kind = request_kind::non_idempotent)
 {
     route matched;
--- a/tests/gateway/memory_lease_test.cpp
+++ b/tests/gateway/memory_lease_test.cpp
@@ -3,7 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "gateway/gateway_fixture.hpp"
+#include "gateway/placed_requests.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -11,17 +11,6 @@
 namespace
 {
 
-engine_profile small_engine()
-{
-    engine_profile values;
-    values.slots_ = 4;
-    values.kv_capacity_ = token_count{100000};
-    values.prefill_tokens_per_ms_ = 154;
-    values.decode_steps_per_pass_ = 34;
-    values.mean_output_tokens_ = token_count{100};
-    return values;
-}
-
 route long_route()
 {
     route matched;
--- a/tests/gateway/server_notices_test.cpp
+++ b/tests/gateway/server_notices_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "gateway/gateway_fixture.hpp"
+#include "gateway/placed_requests.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -129,22 +129,9 @@
     const auto server = gateway.add_server([](const auto&) { return plain_response("200 OK", "a"); });
     const auto entry = listed(gateway, "server-0");
     auto ends = std::make_shared<std::vector<send_result>>();
-    const auto send = [](gateway_fixture& where, listed_server to,
-                         std::shared_ptr<std::vector<send_result>> results) -> task<> {
-        boost::asio::ip::tcp::socket unconnected(where.state_.executor_);
-        exchange current(where.state_, std::make_shared<caller_socket>(std::move(unconnected)), {}, nullptr);
-        current.table_ = where.state_.table_;
-        current.route_ = find_route(*current.table_, "h", "/r/x");
-        current.service_ = &current.table_->services_.at(service_id{"s"});
-        current.watch_ = std::make_shared<caller_watch>();
-        current.arrived_ = std::chrono::steady_clock::now();
-        set_deadline(current, milliseconds{1000});
-        const auto result = co_await send_to_server(current, std::move(to), {});
-        results->push_back(result);
-    };
     for (int request = 0; request < 5; ++request)
     {
-        spawn(gateway.state_.executor_, "send", send(gateway, entry, ends));
+        spawn(gateway.state_.executor_, "send_directly", send_directly(gateway, entry, ends));
     }
     spawn(gateway.state_.executor_, "pause", [](gateway_fixture& where, listed_server to) -> task<> {
         record_pause(where.state_.directory_, to, milliseconds{5000}, std::chrono::steady_clock::now());
