--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -12,7 +12,7 @@
 constexpr std::int64_t restart_gap_ms = 1300;
 constexpr std::int64_t drain_ms = 2000;
 /// A server that leaves serves for drain_ms and this little longer, then it exits.
-constexpr std::int64_t little_longer_ms = 250;
+constexpr std::int64_t little_longer_ms = 100;
 constexpr std::int64_t rounds = 10;
 constexpr int callers_per_vm = 5;
 constexpr int work_ms = 60;
@@ -30,8 +30,8 @@
 std::string configuration()
 {
     const auto route = [](const std::string& prefix, const std::string& kind, int attempts) {
-        return R"({"name":")" + prefix + R"(","host":"desk.example","path_prefix":")" + prefix + R"(","kind":")" + kind +
-               R"(","timeout_ms":1000,"target_latency_ms":100,"priority":2,"service":"desk","max_attempts":)" +
+        return R"({"name":")" + prefix + R"(","host":"desk.example","path_prefix":")" + prefix + R"(","kind":")" +
+               kind + R"(","timeout_ms":1000,"target_latency_ms":100,"priority":2,"service":"desk","max_attempts":)" +
                std::to_string(attempts) + R"(,"public":false})";
     };
     return R"({"version":7,"routes":[)" + route("/book/", "non_idempotent", 1) + "," +
--- a/review/tools-2/fleet.hpp
+++ b/review/tools-2/fleet.hpp
@@ -439,7 +439,8 @@
 
     void start_store()
     {
-        processes_.start("store", {standins_ + "/store_standin", "--listen", "127.0.0.1:" + std::to_string(store_port_)},
+        processes_.start("store",
+                         {standins_ + "/store_standin", "--listen", "127.0.0.1:" + std::to_string(store_port_)},
                          folder_ + "/store.log");
         const auto until = now_ms() + 5000;
         while (store_get("/log-newest?topic=keyed.op&part=0").status_ != 200)
@@ -482,11 +483,19 @@
         added.service_ = service;
         added.zone_ = zone;
         added.port_ = free_port({"127.0.0.1"});
-        added.born_ = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+        added.born_ =
+            std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
         added.journal_ = folder_ + "/" + added.id_ + ".jsonl";
-        std::vector<std::string> words{standins_ + "/server_standin", "--listen",
-                                       "127.0.0.1:" + std::to_string(added.port_), "--id", added.id_, "--slots",
-                                       std::to_string(slots), "--duration-ms", std::to_string(duration_ms), "--journal",
+        std::vector<std::string> words{standins_ + "/server_standin",
+                                       "--listen",
+                                       "127.0.0.1:" + std::to_string(added.port_),
+                                       "--id",
+                                       added.id_,
+                                       "--slots",
+                                       std::to_string(slots),
+                                       "--duration-ms",
+                                       std::to_string(duration_ms),
+                                       "--journal",
                                        added.journal_};
         words.insert(words.end(), more.begin(), more.end());
         processes_.start(added.id_, words, folder_ + "/" + added.id_ + ".log");
@@ -549,10 +558,12 @@
         const auto address = [this, vm](int port) {
             return "\"" + ips_[vm] + ":" + std::to_string(port) + "\"";
         };
-        text << "node_name = \"edge-" << zone_of(vm) << "-" << vm + 1 << "\"\nrole = \"gateway\"\nmachine_class = \"edge\"\n"
+        text << "node_name = \"edge-" << zone_of(vm) << "-" << vm + 1
+             << "\"\nrole = \"gateway\"\nmachine_class = \"edge\"\n"
              << "serves = [\"edge\"]\nip = \"" << ips_[vm] << "\"\nzone = \"" << zone_of(vm) << "\"\nregion = \"r\"\n"
-             << "internal_ports = [" << load_port_ << "," << metrics_port_ << "]\nseeds = []\nbootstrap = "
-             << (first ? "true" : "false") << "\nheartbeat_ms = 1200\n[listen_addrs]\nfront = " << address(front_port_)
+             << "internal_ports = [" << load_port_ << "," << metrics_port_
+             << "]\nseeds = []\nbootstrap = " << (first ? "true" : "false")
+             << "\nheartbeat_ms = 1200\n[listen_addrs]\nfront = " << address(front_port_)
              << "\nready_addr = " << address(ready_port_)
              << "\n[limits]\ncpu_share = 0.25\ncpu_cores = 1\nmemory_mb = 260\nmax_fds = 4200\nlink_mbps = 1000.0\n"
              << "[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\nstable_window_ms = 3000\nack_ms = 4000\ncatchup_s = 4\n"
