--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,21 +1,23 @@
-// A planned restart of some VMs delays, on the VMs that nobody touched, the removal of a server that leaves.
+// A VM that stood still and finds the store's history gone reads the whole list, and makes the others skip the removal
+// of a server that it never knew.
 
-#include "../tools-2/fleet.hpp"
+#include "../tools-2/store.hpp"
 
 using namespace review;
 
 namespace
 {
 
-constexpr std::size_t vms = 6;
-constexpr std::size_t restarted_vms = 2;  // the first ones; the others are never touched
-constexpr std::int64_t restart_gap_ms = 1300;
+constexpr std::size_t vms = 4;
+constexpr std::size_t frozen_vm = 0;  // the others are never touched
+constexpr std::int64_t freeze_ms = 5000;
 constexpr std::int64_t drain_ms = 2000;
-/// A server that leaves serves for drain_ms and this little longer, then it exits.
-constexpr std::int64_t little_longer_ms = 100;
-constexpr std::int64_t rounds = 10;
-constexpr int callers_per_vm = 5;
-constexpr int work_ms = 60;
+/// A server that leaves goes on serving for drain_ms and longer, "at times many seconds".
+constexpr std::int64_t serves_ms = 6000;
+constexpr int rounds = 6;
+constexpr int callers_per_vm = 8;
+constexpr int callers_of_frozen_vm = 2;
+constexpr int work_ms = 20;
 constexpr int slots = 6;
 
 std::string request_of(const std::string& id, bool once)
@@ -41,39 +43,17 @@
            R"("tenants":[{"name":"t-1","api_keys":["key-1"]}]})";
 }
 
-/// Stops and starts some VMs, one a little after the other, and returns when all are ready again.
-void restart_in_turn(deployment& all, record& to)
-{
-    for (std::size_t vm = 0; vm < restarted_vms; ++vm)
-    {
-        to.add("SIGTERM to " + deployment::vm_name(vm));
-        all.processes_.signal(deployment::vm_name(vm), SIGTERM);
-        sleep_ms(restart_gap_ms);
-    }
-    for (std::size_t vm = 0; vm < restarted_vms; ++vm)
-    {
-        if (!all.processes_.wait(deployment::vm_name(vm), 8000))
-        {
-            throw cannot_run("a VM does not stop");
-        }
-        sleep_ms(300);
-        all.start_vm(vm, false);
-        all.wait_ready(vm);
-    }
-}
-
 int run()
 {
     record to("record.txt");
     deployment all(to, vms);
-    all.start_store();
+    auto& store = *new forgetful_store("127.0.0.1", all.store_port_);  // serves to the end of the process
     all.append("keyed.op", "config", configuration());
-    std::vector<std::string> servers;
-    for (int index = 0; index < 3; ++index)
+    for (std::size_t index = 0; index < 4; ++index)
     {
-        servers.push_back(all.add_server("desk", deployment::zone_of(static_cast<std::size_t>(index)), work_ms, slots));
+        all.add_server("desk", deployment::zone_of(index), work_ms, slots);
     }
-    all.start_heartbeats();
+    // A server's regular writes make no record: "The entry changes when more than `sequence` changes."
     for (std::size_t vm = 0; vm < vms; ++vm)
     {
         all.start_vm(vm, true);
@@ -90,9 +70,10 @@
     std::atomic<int> served{0};
     std::mutex answers_mutex;
     std::map<std::string, int> answers;
-    for (std::size_t vm = restarted_vms; vm < vms; ++vm)
+    for (std::size_t vm = 0; vm < vms; ++vm)
     {
-        for (int caller = 0; caller < callers_per_vm; ++caller)
+        const int count = vm == frozen_vm ? callers_of_frozen_vm : callers_per_vm;
+        for (int caller = 0; caller < count; ++caller)
         {
             callers.emplace_back([&, vm, caller] {
                 std::mt19937 random(static_cast<unsigned>(vm * 100 + static_cast<std::size_t>(caller)));
@@ -105,56 +86,66 @@
                     const auto got = call(all.ips_[vm], all.front_port_, request_of(id, once), 1000);
                     served += got.status_ == 200 && got.complete_ ? 1 : 0;
                     to.add("answered " + id + " " + std::to_string(got.status_));
-                    const std::lock_guard<std::mutex> lock(answers_mutex);
-                    answers[id] = got.status_;
-                    sleep_ms(20 + static_cast<std::int64_t>(random() % 40));
+                    {
+                        const std::lock_guard<std::mutex> lock(answers_mutex);
+                        answers[id] = got.status_;
+                    }
+                    sleep_ms(40 + static_cast<std::int64_t>(random() % 60));
                 }
             });
         }
     }
     sleep_ms(1000);
     std::map<std::string, std::int64_t> removed;
-    for (std::int64_t round = 0; round < rounds; ++round)
+    for (int round = 0; round < rounds; ++round)
     {
-        // The successor starts first.
-        servers.push_back(all.add_server("desk", deployment::zone_of(static_cast<std::size_t>(round)), work_ms, slots));
+        const auto begun = now_ms();
         if (!is_calm())
         {
-            restart_in_turn(all, to);
+            to.add(deployment::vm_name(frozen_vm) + " stands still");
+            all.processes_.signal(deployment::vm_name(frozen_vm), SIGSTOP);
         }
-        else
+        const auto zone = deployment::zone_of(static_cast<std::size_t>(round));
+        sleep_ms(begun + 1600 - now_ms());
+        all.add_server("desk", zone, work_ms, slots);
+        sleep_ms(begun + 1850 - now_ms());
+        if (!is_calm())
         {
-            sleep_ms(3500);
+            store.forget("keyed.servers");
+            to.add("the store forgets its history of the servers");
         }
-        sleep_ms(static_cast<std::int64_t>(300 + 50 * (round % 3)));
-        const auto leaving = servers.front();
-        servers.erase(servers.begin());
-        removed[leaving] = all.remove_entry(leaving);
-        sleep_ms(removed[leaving] + drain_ms + little_longer_ms - now_ms());
-        all.processes_.kill(leaving);
-        to.add("server " + leaving + " has ended");
-        sleep_ms(1500);
+        sleep_ms(begun + 2600 - now_ms());
+        const auto added = all.add_server("desk", zone, work_ms, slots);
+        // 3,000 ms after its disturbance the store is stable again.
+        sleep_ms(begun + freeze_ms - 100 - now_ms());
+        all.add_server("desk", zone, work_ms, slots);
+        removed[added] = all.remove_entry(added);
+        sleep_ms(begun + freeze_ms - now_ms());
+        if (!is_calm())
+        {
+            all.processes_.signal(deployment::vm_name(frozen_vm), SIGCONT);
+            to.add(deployment::vm_name(frozen_vm) + " goes on");
+        }
+        sleep_ms(removed[added] + serves_ms - now_ms());
+        all.processes_.kill(added);
+        to.add("server " + added + " has ended");
+        sleep_ms(2500);
     }
     stop = true;
     for (auto& each : callers)
     {
         each.join();
     }
-    all.stop_heartbeats();
     int late = 0;
-    int lost = 0;
+    std::map<std::string, int> late_at;
     std::map<std::string, std::int64_t> latest;
-    std::map<std::string, bool> ended;
     const auto notes = all.read_journals();
     for (const auto& note : notes)
     {
         to.add_at(note.at_, "server " + note.server_ + " " + note.what_ + " " + note.request_);
-        ended[note.request_] = ended[note.request_] || note.what_ == "done";
-    }
-    for (const auto& note : notes)
-    {
         const auto left = removed.find(note.server_);
-        if (left == removed.end() || note.what_ != "run")
+        const bool by_frozen_vm = std::stoul(note.request_.substr(0, 2), nullptr, 16) == frozen_vm + 1;
+        if (left == removed.end() || note.what_ != "run" || by_frozen_vm)
         {
             continue;
         }
@@ -163,17 +154,18 @@
         if (after > drain_ms)
         {
             ++late;
-            lost += ended[note.request_] && answers[note.request_] == 200 ? 0 : 1;
-            to.say("LATE: " + note.request_ + " reached " + note.server_ + " " + std::to_string(after) +
+            ++late_at[note.server_];
+            to.add("LATE: " + note.request_ + " reached " + note.server_ + " " + std::to_string(after) +
                    " ms after its removal was acknowledged, answered " + std::to_string(answers[note.request_]));
         }
     }
-    for (const auto& each : latest)
+    for (const auto& each : removed)
     {
-        to.say("last request to " + each.first + ": " + std::to_string(each.second) + " ms after its removal");
+        to.say("server " + each.first + ": last request " + std::to_string(latest[each.first]) +
+               " ms after its removal, " + std::to_string(late_at[each.first]) + " later than the bound");
     }
-    to.say("sent " + std::to_string(sent) + ", served " + std::to_string(served) + ", late " + std::to_string(late) +
-           ", of these not served " + std::to_string(lost));
+    to.say("reads answered 410: " + std::to_string(store.expired_reads_));
+    to.say("sent " + std::to_string(sent) + ", served " + std::to_string(served) + ", late " + std::to_string(late));
     return late > 0 ? 1 : 0;
 }
 
@@ -181,13 +173,15 @@
 
 int main()
 {
+    int status = 2;
     try
     {
-        return run();
+        status = run();
     }
     catch (const std::exception& problem)
     {
         std::cerr << "cannot run: " << problem.what() << '\n';
-        return 2;
     }
+    std::cout.flush();
+    std::quick_exit(status);
 }
--- a/review/tools-2/fleet.hpp
+++ b/review/tools-2/fleet.hpp
@@ -24,6 +24,7 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -515,6 +516,15 @@
         return added.id_;
     }
 
+    [[nodiscard]] std::vector<int> ports_of(const std::vector<std::string>& ids)
+    {
+        const std::lock_guard<std::mutex> lock(servers_mutex_);
+        std::vector<int> ports;
+        std::transform(ids.begin(), ids.end(), std::back_inserter(ports),
+                       [this](const std::string& id) { return find(id).port_; });
+        return ports;
+    }
+
     /// Removes the entry of a server and returns the time at which the store's acknowledgement arrived.
     std::int64_t remove_entry(const std::string& id)
     {
