--- a/review/tools-2/fleet.hpp
+++ b/review/tools-2/fleet.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -277,6 +278,8 @@
         const pid_t id = ::fork();
         if (id == 0)
         {
+            // Ends with the thread that started it, the main one, also when a time limit kills this program.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int to = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(to, 1);
             ::dup2(to, 2);
