--- a/review/tools-2/fleet.hpp
+++ b/review/tools-2/fleet.hpp
@@ -372,7 +372,9 @@
     std::string service_;
     std::string zone_;
     int port_ = 0;
+    int listed_port_ = 0;  ///< in the entry; another one than `port_` when a proxy stands before the server
     std::int64_t born_ = 0;
+    std::int64_t last_beat_ = 0;
     int sequence_ = 0;
     bool listed_ = false;
     std::string journal_;
@@ -480,7 +482,7 @@
 
     /// Starts a server and registers it.
     std::string add_server(const std::string& service, const std::string& zone, int duration_ms, int slots,
-                           const std::vector<std::string>& more = {})
+                           const std::vector<std::string>& more = {}, const std::function<int(int)>& proxy = {})
     {
         server added;
         added.id_ = "i-" + std::to_string(++next_server_) + "-" + std::to_string(::getpid());
@@ -512,6 +514,7 @@
             }
             sleep_ms(20);
         }
+        added.listed_port_ = proxy ? proxy(added.port_) : added.port_;
         const std::lock_guard<std::mutex> lock(servers_mutex_);
         servers_.push_back(added);
         beat(servers_.back());
@@ -539,6 +542,15 @@
         return at;
     }
 
+    /// The server writes no more; returns when it last did.
+    std::int64_t silence(const std::string& id)
+    {
+        const std::lock_guard<std::mutex> lock(servers_mutex_);
+        auto& silent = find(id);
+        silent.listed_ = false;
+        return silent.last_beat_;
+    }
+
     /// Writes the entries of all listed servers each 1,200 ms, as servers do.
     void start_heartbeats()
     {
@@ -678,10 +690,12 @@
     void beat(server& each)
     {
         std::ostringstream entry;
-        entry << "{\"service\":\"" << each.service_ << "\",\"address\":\"127.0.0.1:" << each.port_ << "\",\"zone\":\""
-              << each.zone_ << "\",\"version\":\"1\",\"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,"
+        entry << "{\"service\":\"" << each.service_ << "\",\"address\":\"127.0.0.1:" << each.listed_port_
+              << "\",\"zone\":\"" << each.zone_
+              << "\",\"version\":\"1\",\"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,"
               << "\"sequence\":" << ++each.sequence_ << ",\"born\":" << each.born_ << "}";
         append("keyed.servers", each.id_, entry.str());
+        each.last_beat_ = now_ms();
         each.listed_ = true;
     }
 
