--- a/packages/runtime/include/cornelstall/runtime.hpp
+++ b/packages/runtime/include/cornelstall/runtime.hpp
@@ -6,6 +6,7 @@
 #include "cornelstall/runtime/connection/caller_bounds.hpp"
 #include "cornelstall/runtime/connection/caller_connection.hpp"
 #include "cornelstall/runtime/connection/caller_listener.hpp"
+#include "cornelstall/runtime/connection/deadline_socket.hpp"
 #include "cornelstall/runtime/connection/engine_stream.hpp"
 #include "cornelstall/runtime/connection/grpc_call.hpp"
 #include "cornelstall/runtime/connection/http_call.hpp"
