Reject answers whose status is not that of an answer

What callers saw: a server that answered with status 000 (or any below 100) was not believed, but the bytes after its head were read as the next head. A body that looked like an answer, or a second answer on the connection, reached the caller as the answer; a non-idempotent request without such bytes waited for its whole time limit. Status 101, which no request asks for, and 600 to 999 were relayed with their bodies. Calls to engines, the store and other VMs returned such a status with its body.

Cause: Beast accepts any three digits, and is_interim() took everything below 200 except 101 for an interim answer.

Change: is_interim() is 100 to 199 without 101 and is_final() 200 to 599 (RFC 9110, section 15), in one place for all readers. What is neither is no answer: the send may have run, nothing that the head says holds (did_not_run, leaving, limits), and event 2031 says invalid_status. A call fails as without a response.

--- a/packages/gateway/src/connection/answer_reader.cpp
+++ b/packages/gateway/src/connection/answer_reader.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "cornelstall/runtime/connection/answer_rules.hpp"
+
 namespace cornelstall
 {
 
@@ -16,8 +18,6 @@
 /// Largest event that is buffered until its end arrives; a stream with a larger event is treated as cut. An event holds
 /// the tokens of one pass, some hundreds of bytes.
 constexpr std::size_t max_event_bytes = 1U << 20U;
-/// Servers send one or two interim answers; one that sends more is faulty.
-constexpr int max_interim_answers = 8;
 
 void complete_read(answer_reader& reader, const boost::system::error_code& failed)
 {
@@ -117,13 +117,6 @@
     co_return co_await take_read(reader, limit);
 }
 
-bool is_interim(unsigned status)
-{
-    constexpr unsigned first_final_status = 200;
-    constexpr unsigned switching_protocols = 101;
-    return status < first_final_status && status != switching_protocols;
-}
-
 bool has_read(const answer_reader& reader)
 {
     return reader.started_ && !reader.reading_ && !reader.failed_;
--- a/packages/gateway/src/connection/answer_reader.hpp
+++ b/packages/gateway/src/connection/answer_reader.hpp
@@ -48,9 +48,6 @@
 /// @return false when the wait ended before; call again to go on waiting
 [[nodiscard]] task<bool> read_head(std::shared_ptr<answer_reader> reader, time_point limit);
 
-/// @brief True for the status of an answer that another one follows.
-[[nodiscard]] bool is_interim(unsigned status);
-
 /// @brief Reads an event stream until whole events have arrived or the stream has ended. Fails when an event is too
 /// large or the memory for buffered answers is used up.
 /// @return false when the wait ended before; call again to go on waiting
--- a/packages/gateway/src/connection/backend_socket.cpp
+++ b/packages/gateway/src/connection/backend_socket.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 
 #include "cornelstall/gateway/connection/backend_socket.hpp"
+#include "cornelstall/runtime/connection/answer_rules.hpp"
 
 namespace cornelstall
 {
@@ -15,9 +16,6 @@
 using boost::asio::ip::tcp;
 
 constexpr int listen_backlog = 512;
-/// Bounds the head of an answer, the size line and extensions of a chunk, and the trailer. A server that sends more is
-/// not speaking HTTP, and the read fails.
-constexpr std::size_t max_unparsed_bytes = 65'536;
 constexpr int listen_address_error_id = 420;
 /// An attempt to connect whose end is noticed this long after its deadline says nothing: the process was paused.
 constexpr milliseconds max_attempt_lateness{100};
@@ -68,7 +66,7 @@
         co_return nullptr;
     }
     auto connection = std::make_shared<backend_socket>(tcp::socket(where));
-    connection->buffer_.max_size(max_unparsed_bytes);
+    connection->buffer_.max_size(max_unparsed_answer_bytes);
     set_close_deadline(*connection, deadline);
     boost::system::error_code failed;
     co_await connection->socket_.async_connect(*endpoint,
--- a/packages/gateway/src/connection/http_client.cpp
+++ b/packages/gateway/src/connection/http_client.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "cornelstall/runtime/connection/answer_rules.hpp"
+
 namespace cornelstall
 {
 
@@ -47,7 +49,7 @@
     }
     clear_close_deadline(*connection);
     close_socket(*connection);
-    if (failed)
+    if (failed || !is_final(parser.get().result_int()))
     {
         co_return client_response{};
     }
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -11,6 +11,7 @@
 #include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/process/server_notices.hpp"
 #include "cornelstall/gateway/request/exchange.hpp"
+#include "cornelstall/runtime/connection/answer_rules.hpp"
 #include "request/send_plan.hpp"
 #include "request/send_watch.hpp"
 
@@ -325,7 +326,7 @@
     constexpr unsigned ok = 200;
     const bool status_fits =
         current.route_->kind_ == request_kind::streaming ? answer.status_ == ok : !is_server_failure(answer.status_);
-    return status_fits && !is_interim(answer.status_) && !answer.did_not_run_ &&
+    return status_fits && is_final(answer.status_) && !answer.did_not_run_ &&
            !answers_another_request(current, answer) && rejection_reason(answer) == nullptr;
 }
 
@@ -398,9 +399,10 @@
     {
         result = record_missing_answer(current, server, *connection, reader->failed_);
     }
-    else if (!taken_over && is_interim(reader->parser_->get().result_int()))
+    else if (!taken_over && !is_final(reader->parser_->get().result_int()))
     {
-        result = reject_answer(current, server, "interim_only");
+        const bool interim = is_interim(reader->parser_->get().result_int());
+        result = reject_answer(current, server, interim ? "interim_only" : "invalid_status");
     }
     else if (!taken_over)
     {
--- a/packages/runtime/include/cornelstall/runtime.hpp
+++ b/packages/runtime/include/cornelstall/runtime.hpp
@@ -3,6 +3,7 @@
 /// @file
 /// The tasks of an entry process and what they share: settings, log events, metrics, connections.
 
+#include "cornelstall/runtime/connection/answer_rules.hpp"
 #include "cornelstall/runtime/connection/caller_bounds.hpp"
 #include "cornelstall/runtime/connection/caller_connection.hpp"
 #include "cornelstall/runtime/connection/caller_listener.hpp"
--- a/tests/gateway/http_client_test.cpp
+++ b/tests/gateway/http_client_test.cpp
@@ -53,6 +53,20 @@
     }
 }
 
+/// Calls @a server and waits for the end of the call.
+client_response call_once(gateway_fixture& gateway, const fake_server& server)
+{
+    std::optional<client_response> response;
+    const auto call_server = [](http_client to, std::optional<client_response>& result) -> task<> {
+        auto received = co_await call(to, "GET", "/", "", "", milliseconds{700});
+        result = std::move(received);
+    };
+    spawn(gateway.state_.executor_, "call",
+          call_server(http_client{gateway.state_.executor_, server.address()}, response));
+    REQUIRE(gateway.run_until([&response] { return response.has_value(); }));
+    return std::move(*response);
+}
+
 }  // namespace
 
 TEST_CASE("a call does not receive the late second copy of the response to an earlier call")
@@ -89,14 +103,44 @@
                       scripted_response{"HTTP/1.1 200 OK\r\nX-Long: ", false, filler},
                       scripted_response{"HTTP/1.1 200 OK\r\nX-Slow: ", false, "x", milliseconds{100}});
     const auto server = gateway.add_server([&endless](const auto&) { return scripted_response(endless); });
-    std::optional<client_response> response;
-    const auto call_once = [](http_client to, std::optional<client_response>& result) -> task<> {
-        auto received = co_await call(to, "GET", "/", "", "", milliseconds{700});
-        result = std::move(received);
-    };
-    spawn(gateway.state_.executor_, "call",
-          call_once(http_client{gateway.state_.executor_, server->address()}, response));
-    REQUIRE(gateway.run_until([&response] { return response.has_value(); }));
-    CHECK(response->status_ == 0);
+    CHECK(call_once(gateway, *server).status_ == 0);
     CHECK(gateway.run_until([&server] { return server->endless_ended_ == 1; }));
 }
+
+TEST_CASE("a call fails when its response is malformed, cut short, or not the last one")
+{
+    // Nothing that such a response says may hold: neither that an engine refused an order nor what the store contains.
+    const std::string length{"Content-Length: 2\r\n\r\n{}"};
+    const auto response = GENERATE_COPY(
+        scripted_response{"HTTP/1.1 000 None\r\n" + length, true},
+        scripted_response{"HTTP/1.1 099 None\r\n" + length, true},
+        scripted_response{"HTTP/1.1 101 Switching Protocols\r\n\r\n", true},
+        scripted_response{"HTTP/1.1 600 None\r\n" + length, true},
+        scripted_response{"HTTP/1.1 409 Conflict\r\nContent-Length : 1\r\n" + length, true},
+        scripted_response{"HTTP/1.1 200 OK\r\nX Odd: 1\r\n" + length, true},
+        scripted_response{"HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n" + length, true},
+        scripted_response{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Odd: 1\r\n\r\n",
+                          true},
+        scripted_response{.bytes_ = "HTTP/1.1 200 OK\r\n\r\n{", .reset_ = true});
+    CAPTURE(response.bytes_);
+    gateway_fixture gateway;
+    const auto server = gateway.add_server([&response](const auto&) { return response; });
+    const auto received = call_once(gateway, *server);
+    CHECK(received.status_ == 0);
+    CHECK(received.body_.empty());
+    CHECK(received.head_.begin() == received.head_.end());
+}
+
+TEST_CASE("a call receives sound responses with unusual statuses, fields and ends")
+{
+    const auto status = GENERATE(as<std::string>{}, "200 OK", "299 ", "409 Conflict", "599 ");
+    const auto rest = GENERATE(as<std::string>{}, "Content-Length: 2\r\n\r\n{}", "!#$%&'*+-.^_`|~9: \xe9\t1\r\n\r\n{}",
+                               "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX-Trailer: 1\r\n\r\n");
+    gateway_fixture gateway;
+    const auto server = gateway.add_server([&](const auto&) {
+        return scripted_response{"HTTP/1.1 " + status + "\r\n" + rest, false};
+    });
+    const auto received = call_once(gateway, *server);
+    CHECK(std::to_string(received.status_) == status.substr(0, 3));
+    CHECK(received.body_ == "{}");
+}
