Do not take a reset during the upload for the end of an answer

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still written. The part was relayed as a complete answer, and a stream ended as complete.

Cause: the kernel reports a failed connection to one operation only. The pending write took the error, which start_sending() dropped, and the read then saw an orderly end of the data, which ends a body without a length.

Change: the error of the write is kept with the connection. A body that lasts until the end of its connection is cut short when a write has failed, except with EPIPE, which says that the peer had ended its data before. The readers of plain answers and of event streams treat such an answer like any other that breaks off: the send may have run.

Why it holds: the event loop completes a write that fails before the read that ends because of it, on the same thread, and a read that takes the error itself fails as before.

Held before and kept: answers with a stated end that come during the upload, whole ones and cut ones, also when a reset follows; bodies without a length whose sender ends in order; refusals that tell that nothing ran.

--- a/packages/gateway/src/connection/answer_reader.cpp
+++ b/packages/gateway/src/connection/answer_reader.cpp
@@ -48,6 +48,10 @@
             {
                 complete_read(*reader, failed);
             }
+            else if (is_cut_short(*reader->parser_, *reader->connection_))
+            {
+                complete_read(*reader, reader->connection_->write_failed_);
+            }
             else if (is_event_complete(*reader))
             {
                 complete_read(*reader, {});
--- a/packages/gateway/src/request/send_to_server.cpp
+++ b/packages/gateway/src/request/send_to_server.cpp
@@ -85,9 +85,9 @@
     const auto outgoing = std::make_shared<const outgoing_request>(outgoing_request{head.str(), current.body_});
     auto parts = outgoing->body_->buffers();
     parts.insert(parts.begin(), boost::asio::buffer(outgoing->head_));
-    // A failed connection is reported by the read of the answer.
-    boost::asio::async_write(server->socket_, parts,
-                             [outgoing, server](const boost::system::error_code&, std::size_t) {});
+    boost::asio::async_write(
+        server->socket_, parts,
+        [outgoing, server](const boost::system::error_code& failed, std::size_t) { server->write_failed_ = failed; });
 }
 
 /// Time after which a server without a first byte counts as silent.
@@ -147,7 +147,7 @@
             co_return std::nullopt;
         }
     }
-    if (!parser.is_done())
+    if (!parser.is_done() || is_cut_short(parser, *server))
     {
         co_return std::nullopt;
     }
--- a/packages/runtime/include/cornelstall/runtime/connection/answer_rules.hpp
+++ b/packages/runtime/include/cornelstall/runtime/connection/answer_rules.hpp
@@ -5,11 +5,11 @@
 #include <string_view>
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "cornelstall/runtime/connection/deadline_socket.hpp"
 #include "cornelstall/runtime/process/task.hpp"
 
 /// @file
@@ -85,4 +85,12 @@
     co_return failed;
 }
 
+/// @brief True when the body of a parsed answer lasts until the end of its connection, and that was not an orderly end.
+/// Parsers take each end of the received data for the end of such a body.
+[[nodiscard]] inline bool is_cut_short(const boost::beast::http::basic_parser<false>& answer,
+                                       const deadline_socket& connection)
+{
+    return answer.is_done() && answer.need_eof() && !ended_in_order(connection);
+}
+
 }  // namespace cornelstall
--- a/packages/runtime/src/connection/deadline_socket.cpp
+++ b/packages/runtime/src/connection/deadline_socket.cpp
@@ -69,6 +69,12 @@
     connection.socket_.close(ignored);
 }
 
+bool ended_in_order(const deadline_socket& connection)
+{
+    // A write fails with this error when the peer had ended its data before the connection failed.
+    return !connection.write_failed_ || connection.write_failed_ == boost::asio::error::broken_pipe;
+}
+
 void set_tcp_options(tcp::socket& socket)
 {
     boost::system::error_code ignored;  // if the socket has failed, its next operation reports the error
--- a/tests/gateway/fake_server.hpp
+++ b/tests/gateway/fake_server.hpp
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -26,6 +29,9 @@
     bool crash_ = false;      ///< after the bytes were sent, close the connection and accept no others
     std::string later_{};     ///< sent after the bytes and a silence of `silence_`
     milliseconds silence_{0};
+    /// After the bytes were sent, end the sending side, so that the gateway sees the end of the connection in order. A
+    /// reset with `reset_` then follows at once.
+    bool end_sending_ = false;
 };
 
 /// @brief A backend server on the loopback interface that responds as a test's function says.
@@ -46,25 +52,57 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::function<scripted_response(const request&)> script_;
     std::vector<request> received_requests_;
-    int endless_ended_ = 0;      ///< answers without end that the gateway ended by closing the connection
-    int closed_by_gateway_ = 0;  ///< connections with `keep_open_` that the gateway closed
-    int accepted_ = 0;           ///< connections, including those without a request
+    int endless_ended_ = 0;       ///< answers without end that the gateway ended by closing the connection
+    int closed_by_gateway_ = 0;   ///< connections with `keep_open_` that the gateway closed
+    int accepted_ = 0;            ///< connections, including those without a request
+    bool answers_early_ = false;  ///< responds to the head of a request and does not read its body
 };
 
-/// @brief Reads one request from @a socket and sends the scripted response.
-inline task<> serve_connection(std::shared_ptr<fake_server> server, boost::asio::ip::tcp::socket socket)
+/// @brief Lets @a server respond before it has read the body of a request. It takes so little of the body into its
+/// buffers that the gateway is still writing a body of some megabytes then.
+inline void answer_early(fake_server& server)
+{
+    constexpr int receive_buffer_bytes = 4096;
+    server.acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+    server.answers_early_ = true;
+}
+
+/// @brief Reads a request, or only its head when the server answers early.
+inline task<std::optional<fake_server::request>> read_request(std::shared_ptr<fake_server> server,
+                                                              boost::asio::ip::tcp::socket& socket)
 {
     boost::system::error_code failed;
     boost::beast::flat_buffer buffer;
-    fake_server::request message;
-    co_await boost::beast::http::async_read(socket, buffer, message,
-                                            boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+    boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (server->answers_early_)
+    {
+        co_await boost::beast::http::async_read_header(socket, buffer, parser,
+                                                       boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+    }
+    else
+    {
+        co_await boost::beast::http::async_read(socket, buffer, parser,
+                                                boost::asio::redirect_error(boost::asio::use_awaitable, failed));
+    }
     if (failed)
+    {
+        co_return std::nullopt;
+    }
+    co_return parser.release();
+}
+
+/// @brief Reads one request from @a socket and sends the scripted response.
+inline task<> serve_connection(std::shared_ptr<fake_server> server, boost::asio::ip::tcp::socket socket)
+{
+    const auto message = co_await read_request(server, socket);
+    if (!message)
     {
         co_return;
     }
-    server->received_requests_.push_back(message);
-    const auto response = server->script_(message);
+    server->received_requests_.push_back(*message);
+    const auto response = server->script_(*message);
+    boost::system::error_code failed;
     co_await boost::asio::async_write(socket, boost::asio::buffer(response.bytes_),
                                       boost::asio::redirect_error(boost::asio::use_awaitable, failed));
     if (!response.later_.empty())
@@ -73,9 +111,16 @@
         co_await boost::asio::async_write(socket, boost::asio::buffer(response.later_),
                                           boost::asio::redirect_error(boost::asio::use_awaitable, failed));
     }
-    if (response.reset_)
+    if (response.end_sending_)
+    {
+        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, failed);
+    }
+    else if (response.reset_)
     {
         co_await sleep_for(milliseconds{50});  // a reset discards bytes that the gateway has not read
+    }
+    if (response.reset_)
+    {
         socket.set_option(boost::asio::socket_base::linger(true, 0), failed);
         socket.close(failed);
         co_return;
