--- a/packages/runtime/include/cornelstall/runtime/connection/http_call.hpp
+++ b/packages/runtime/include/cornelstall/runtime/connection/http_call.hpp
@@ -13,7 +13,7 @@
 struct http_call
 {
     std::string method_{"GET"};
-    std::string base_url_;   ///< `http://ip:port`
+    std::string base_url_;   ///< `http://host:port` or `https://host:port`
     std::string path_{"/"};  ///< path and query
     std::string body_;
     std::string content_type_{"application/json"};
@@ -31,13 +31,11 @@
 
 /// @brief Error ids of HTTP calls.
 inline constexpr int http_connect_failed = 201;  ///< no connection: no byte was sent
-inline constexpr int http_cut = 202;             ///< the connection broke after the call may have been sent
-inline constexpr int http_timed_out = 203;       ///< no whole answer within the limit
+inline constexpr int http_cut = 202;        ///< the connection broke or the answer is malformed: the call may have run
+inline constexpr int http_timed_out = 203;  ///< no whole answer within the limit
 
-/// @brief Makes one call on a connection of its own.
-///
-/// A new connection per call has two reasons: a pooled connection may have gone silent for good, and cpprestsdk 2.10.18
-/// sends a request again when a reused connection is closed by the server, which would run a non-idempotent call twice.
+/// @brief Makes one call on a connection of its own, because a reused one may have gone silent for good or may be
+/// closed by the server while the request is on its way. The answer is read while the request is written.
 /// @throws connection_error with one of the ids above
 [[nodiscard]] task<http_answer> make_call(http_call call);
 
--- a/packages/runtime/include/cornelstall/runtime/process/task.hpp
+++ b/packages/runtime/include/cornelstall/runtime/process/task.hpp
@@ -82,46 +82,4 @@
     co_return ended.get();
 }
 
-namespace detail
-{
-
-/// State shared by the two sides of a race between a pplx task and a timer.
-template <class Result>
-struct race_state
-{
-    explicit race_state(const boost::asio::any_io_executor& where) : timer_(where) {}
-
-    boost::asio::steady_timer timer_;
-    std::optional<pplx::task<Result>> ended_;
-};
-
-}  // namespace detail
-
-/// @brief Like `await_task`, but gives up waiting after @a limit. The pending operation goes on by itself, so whatever
-/// it uses must stay alive by its own means.
-/// @return the ended pplx task, or nothing after @a limit
-template <class Result>
-[[nodiscard]] task<std::optional<pplx::task<Result>>> await_task_for(pplx::task<Result> pending, milliseconds limit)
-{
-    const boost::asio::any_io_executor where = co_await boost::asio::this_coro::executor;
-    auto state = std::make_shared<detail::race_state<Result>>(where);
-    state->timer_.expires_after(limit);
-    pending.then([where, state](pplx::task<Result> finished) {
-        detail::observe(finished);
-        boost::asio::post(where, [state, finished] {
-            state->ended_ = finished;
-            state->timer_.cancel();
-        });
-    });
-    try
-    {
-        co_await state->timer_.async_wait(boost::asio::use_awaitable);
-    }
-    catch (const boost::system::system_error&)
-    {
-        // The timer was cancelled because the operation ended.
-    }
-    co_return state->ended_;
-}
-
 }  // namespace cornelstall
--- a/packages/runtime/src/connection/engine_stream.cpp
+++ b/packages/runtime/src/connection/engine_stream.cpp
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include <cpprest/http_client.h>
-
+#include "connection/server_connection.hpp"
 #include "cornelstall/runtime/connection/http_call.hpp"
 
 namespace cornelstall
@@ -13,7 +12,11 @@
 namespace
 {
 
+namespace http = boost::beast::http;
+using clock = std::chrono::steady_clock;
+
 constexpr int status_ok = 200;
+constexpr unsigned http_1_1 = 11;
 constexpr std::size_t read_buffer_bytes = 16'384;
 constexpr milliseconds first_cancel_pause{100};
 constexpr milliseconds longest_cancel_pause{2000};
@@ -23,34 +26,15 @@
 
 struct engine_stream::connection
 {
-    explicit connection(const socket_address& engine, const web::http::client::http_client_config& config)
-        : url_("http://" + engine.get()), client_(url_, config)
-    {}
+    explicit connection(const socket_address& engine) : url_("http://" + engine.get()) {}
 
     std::string url_;
-    web::http::client::http_client client_;
-    pplx::cancellation_token_source cancel_;
-    concurrency::streams::streambuf<std::uint8_t> body_;
+    std::shared_ptr<server_connection> server_;  ///< null until the connection is established
     event_splitter splitter_;
-    std::array<std::uint8_t, read_buffer_bytes> buffer_{};
+    std::array<char, read_buffer_bytes> buffer_{};
 };
 
-namespace
-{
-
-web::http::client::http_client_config stream_config()
-{
-    web::http::client::http_client_config config;
-    // Silence is judged by this class; the library's own timeout is only a last resort.
-    config.set_timeout(std::chrono::hours{1});
-    return config;
-}
-
-}  // namespace
-
-engine_stream::engine_stream(const socket_address& engine)
-    : connection_(std::make_shared<connection>(engine, stream_config()))
-{}
+engine_stream::engine_stream(const socket_address& engine) : connection_(std::make_shared<connection>(engine)) {}
 
 engine_stream::~engine_stream()
 {
@@ -65,86 +49,63 @@
 
 void engine_stream::close()
 {
-    connection_->cancel_.cancel();
+    if (connection_->server_)
+    {
+        clear_close_deadline(*connection_->server_->transport_);
+        close_socket(*connection_->server_->transport_);
+    }
 }
 
 task<std::optional<engine_refusal>> engine_stream::open(std::string path, std::string body, milliseconds limit)
 {
     const auto state = connection_;
-    web::http::http_request request(web::http::methods::POST);
-    request.set_request_uri(path);
-    request.set_body(std::move(body), "application/json");
-    auto pending = state->client_.request(request, state->cancel_.get_token());
-    // The continuation keeps the connection alive until the library has let go of it.
-    pending.then([state](const pplx::task<web::http::http_response>& ended) { detail::observe(ended); });
-    const auto ended = co_await await_task_for(pending, limit);
-    if (!ended)
-    {
-        close();
-        throw connection_error(http_timed_out, "engine " + state->url_ + " did not answer in time");
-    }
-    web::http::http_response response;
-    try
+    state->server_ = co_await connect_to_server(state->url_, clock::now() + limit);
+    http::request<http::string_body> request(http::verb::post, path, http_1_1);
+    request.set(http::field::content_type, "application/json");
+    request.body() = std::move(body);
+    start_sending(state->server_, std::move(request));
+    co_await receive_head(state->server_);
+    const auto status = static_cast<int>(state->server_->answer_->get().result_int());
+    if (status == status_ok)
     {
-        response = ended->get();
+        clear_close_deadline(*state->server_->transport_);
+        co_return std::nullopt;
     }
-    catch (const web::http::http_exception& problem)
+    set_close_deadline(*state->server_->transport_, clock::now() + stream_silence_limit);
+    std::string refusal;
+    auto size = co_await receive_body(state->server_, state->buffer_);
+    while (size > 0)
     {
-        const auto& code = problem.error_code();
-        const bool connected = code != std::errc::connection_refused && code != std::errc::host_unreachable;
-        throw connection_error(connected ? http_cut : http_connect_failed,
-                               "connection to engine " + state->url_ + " failed: " + problem.what());
+        refusal.append(state->buffer_.data(), size);
+        size = co_await receive_body(state->server_, state->buffer_);
     }
-    if (response.status_code() != status_ok)
-    {
-        const auto text = co_await await_task_for(response.extract_utf8string(true), stream_silence_limit);
-        const std::string refusal = text ? text->get() : std::string{};
-        co_return engine_refusal{response.status_code(), decode_error_code(refusal), refusal};
-    }
-    state->body_ = response.body().streambuf();
-    co_return std::nullopt;
+    co_return engine_refusal{status, decode_error_code(refusal), refusal};
 }
 
 task<std::vector<engine_event>> engine_stream::next(milliseconds limit)
 {
     const auto state = connection_;
-    const auto cut = [&state] {
-        return connection_error(stream_cut, "engine " + state->url_ + " closed the stream before its end mark");
-    };
-    std::size_t count = 0;
+    auto& transport = *state->server_->transport_;
+    set_close_deadline(transport, clock::now() + limit);
+    std::size_t size = 0;
     try
     {
-        // One byte is awaited; what arrived with it is taken without another wait.
-        auto first = co_await await_task_for(state->body_.bumpc(), limit);
-        if (!first)
+        size = co_await receive_body(state->server_, state->buffer_);
+    }
+    catch (const connection_error& problem)
+    {
+        if (problem.id() == http_timed_out)
         {
-            close();
             throw connection_error(stream_silent, "engine " + state->url_ + " has been silent for " +
                                                       std::to_string(limit.count()) + " ms");
         }
-        const auto byte = first->get();
-        if (byte == concurrency::streams::streambuf<std::uint8_t>::traits::eof())
-        {
-            throw cut();
-        }
-        state->buffer_[0] = static_cast<std::uint8_t>(byte);
-        const auto available = std::min(state->body_.in_avail(), read_buffer_bytes - 1);
-        count = 1;
-        if (available > 0)
-        {
-            count += co_await await_task(state->body_.getn(state->buffer_.data() + 1, available));
-        }
-    }
-    catch (const web::http::http_exception&)
-    {
-        throw cut();
     }
-    catch (const std::system_error&)
+    clear_close_deadline(transport);
+    if (size == 0)
     {
-        throw cut();
+        throw connection_error(stream_cut, "engine " + state->url_ + " closed the stream before its end mark");
     }
-    const auto* const text = reinterpret_cast<const char*>(state->buffer_.data());  // NOLINT: bytes are UTF-8 text
-    const auto data = split_events(state->splitter_, std::string_view(text, count));
+    const auto data = split_events(state->splitter_, std::string_view(state->buffer_.data(), size));
     std::vector<engine_event> events;
     std::ranges::transform(data, std::back_inserter(events), decode_engine_event);
     co_return events;
--- a/packages/runtime/src/connection/http_call.cpp
+++ b/packages/runtime/src/connection/http_call.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <cctype>
-#include <system_error>
+#include <vector>
 
-#include <cpprest/http_client.h>
+#include "connection/server_connection.hpp"
 
 namespace cornelstall
 {
@@ -12,15 +12,45 @@
 namespace
 {
 
-web::http::http_request to_request(const http_call& call)
+namespace http = boost::beast::http;
+
+constexpr std::size_t read_buffer_bytes = 16'384;
+
+/// Closes a connection at the end of its scope, which also ends a write under way.
+class scoped_connection
+{
+  public:
+    explicit scoped_connection(std::shared_ptr<server_connection> connection) : connection_(std::move(connection)) {}
+    scoped_connection(const scoped_connection&) = delete;
+    scoped_connection& operator=(const scoped_connection&) = delete;
+    scoped_connection(scoped_connection&&) = delete;
+    scoped_connection& operator=(scoped_connection&&) = delete;
+    ~scoped_connection()
+    {
+        clear_close_deadline(*connection_->transport_);
+        close_socket(*connection_->transport_);
+    }
+
+  private:
+    std::shared_ptr<server_connection> connection_;
+};
+
+/// The path of @a url before that of a call; empty when it has none.
+std::string path_prefix(const web::uri& url)
+{
+    return url.path() == "/" ? std::string{} : url.path();
+}
+
+http::request<http::string_body> to_request(const http_call& call, const web::uri& url)
 {
-    web::http::http_request request(call.method_);
-    request.set_request_uri(call.path_);
-    std::ranges::for_each(call.headers_,
-                          [&request](const auto& header) { request.headers().add(header.first, header.second); });
+    http::request<http::string_body> request;
+    request.method_string(call.method_);
+    request.target(path_prefix(url) + call.path_);
+    std::ranges::for_each(call.headers_, [&request](const auto& header) { request.set(header.first, header.second); });
     if (!call.body_.empty())
     {
-        request.set_body(call.body_, call.content_type_);
+        request.set(http::field::content_type, call.content_type_);
+        request.body() = call.body_;
     }
     return request;
 }
@@ -32,54 +62,37 @@
     return text;
 }
 
-[[noreturn]] void rethrow(const web::http::http_exception& problem, const std::string& url)
+/// The status and the fields of the answer; values of a repeated field are joined by commas.
+http_answer read_head(const http::response_header<>& head)
 {
-    const auto& code = problem.error_code();
-    if (code == std::errc::connection_refused || code == std::errc::host_unreachable)
-    {
-        throw connection_error(http_connect_failed, "no connection to " + url + "; check that the server runs there");
-    }
-    if (code == std::errc::timed_out)
-    {
-        throw connection_error(http_timed_out, "no answer from " + url + " in time; retry on a new connection");
-    }
-    throw connection_error(http_cut, "connection to " + url + " broke: " + problem.what());
+    http_answer answer;
+    answer.status_ = static_cast<int>(head.result_int());
+    std::ranges::for_each(head, [&answer](const auto& field) {
+        const std::string value(field.value());
+        const auto [entry, added] = answer.headers_.emplace(lower_case(std::string(field.name_string())), value);
+        entry->second += added ? "" : ", " + value;
+    });
+    return answer;
 }
 
 }  // namespace
 
 task<http_answer> make_call(http_call call)
 {
-    web::http::client::http_client_config config;
-    config.set_timeout(call.timeout_);
-    // The client lives until the exchange has ended, also when this task has given up waiting.
-    auto client = std::make_shared<web::http::client::http_client>(call.base_url_, config);
-    pplx::cancellation_token_source cancel;
-    auto exchange =
-        client->request(to_request(call), cancel.get_token()).then([client](web::http::http_response response) {
-            return response.extract_utf8string(true).then([client, response](const std::string& body) {
-                http_answer answer{response.status_code(), body, {}};
-                std::ranges::for_each(response.headers(), [&answer](const auto& header) {
-                    answer.headers_.emplace(lower_case(header.first), header.second);
-                });
-                return answer;
-            });
-        });
-    const auto ended = co_await await_task_for(std::move(exchange), call.timeout_);
-    if (!ended)
-    {
-        cancel.cancel();
-        throw connection_error(http_timed_out,
-                               "no answer from " + call.base_url_ + " in time; retry on a new connection");
-    }
-    try
-    {
-        co_return ended->get();
-    }
-    catch (const web::http::http_exception& problem)
+    const auto connection =
+        co_await connect_to_server(call.base_url_, std::chrono::steady_clock::now() + call.timeout_);
+    const scoped_connection closed_at_end(connection);
+    start_sending(connection, to_request(call, connection->url_));
+    co_await receive_head(connection);
+    auto answer = read_head(connection->answer_->get());
+    std::vector<char> part(read_buffer_bytes);
+    auto size = co_await receive_body(connection, part);
+    while (size > 0)
     {
-        rethrow(problem, call.base_url_);
+        answer.body_.append(part.data(), size);
+        size = co_await receive_body(connection, part);
     }
+    co_return answer;
 }
 
 }  // namespace cornelstall
