--- a/soak/process/promises.cpp
+++ b/soak/process/promises.cpp
@@ -173,6 +173,10 @@
 {
     std::vector<finding> found;
     std::ranges::for_each(seen.requests_, [&](const sent_request& request) {
+        if (request.malformed_)
+        {
+            found.push_back({"answers_are_whole", request.id_, "got bytes that are no answer"});
+        }
         if (request.status_ != ok)
         {
             return;
--- a/soak/request/caller.cpp
+++ b/soak/request/caller.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "cornelstall/runtime/connection/answer_rules.hpp"
+
 namespace cornelstall::soak
 {
 
@@ -112,6 +114,13 @@
     return milliseconds{all.draw(longest)};
 }
 
+/// True when a read has failed on bytes that are no answer, and not on the end of the connection.
+bool is_malformed(const boost::system::error_code& failed)
+{
+    return failed && failed.category() == http::make_error_code(http::error::bad_status).category() &&
+           failed != http::error::end_of_stream && failed != http::error::partial_message;
+}
+
 /// Sends @a request on @a connection and notes the answer.
 /// @return true when the connection can take another request
 task<bool> exchange_on(deployment& all, std::shared_ptr<deadline_socket> connection, sent_request request)
@@ -129,9 +138,14 @@
     {
         all.seen_.requests_[index].last_byte_at_ = clock::now();
     }
-    answer_parser parser;
     // A failed write may follow an early answer. Errors of the read leave what has arrived in the parser.
-    failed = {};
+    connection->write_failed_ = failed;
+    answer_parser parser;
+    if (impatient)
+    {
+        set_close_deadline(*connection, clock::now() + abandoned_after(all.settings_));
+    }
+    failed = co_await receive_answer_head(connection->socket_, connection->buffer_, parser);
     while (!failed && !parser.is_done())
     {
         if (impatient)
@@ -146,7 +160,8 @@
     seen.ended_at_ = clock::now();
     seen.left_ = connection->expired_;
     seen.status_ = parser.is_header_done() ? parser.get().result_int() : 0;
-    seen.whole_ = parser.is_done();
+    seen.whole_ = parser.is_done() && !is_cut_short(parser, *connection);
+    seen.malformed_ = is_malformed(failed) || (parser.is_header_done() && !is_final(parser.get().result_int()));
     seen.answer_ = parser.get().body();
     seen.seal_ = std::string(parser.get()["Response-Seal"]);
     co_return !failed && parser.get().keep_alive();
--- a/soak/request/record.hpp
+++ b/soak/request/record.hpp
@@ -33,9 +33,10 @@
     time_point sent_at_;
     std::optional<time_point> last_byte_at_;  ///< the request was written whole
     std::optional<time_point> ended_at_;
-    bool left_ = false;    ///< the caller closed its connection before the answer
-    unsigned status_ = 0;  ///< 0 when the connection ended without an answer
-    bool whole_ = false;   ///< the answer was complete by its own framing
+    bool left_ = false;       ///< the caller closed its connection before the answer
+    unsigned status_ = 0;     ///< 0 when the connection ended without an answer
+    bool whole_ = false;      ///< the answer was complete by its own framing, and its connection had not failed before
+    bool malformed_ = false;  ///< bytes arrived that are no answer
     std::string seal_;
     std::string answer_;
 };
--- a/tests/hostile_callers/crowd.cpp
+++ b/tests/hostile_callers/crowd.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "cornelstall/runtime/connection/answer_rules.hpp"
+
 namespace cornelstall::testing
 {
 
@@ -104,11 +106,13 @@
     co_await boost::asio::async_write(connection->socket_, boost::asio::buffer(message),
                                       redirect_error(use_awaitable, failed));
     // A failed write may follow an early answer.
+    connection->write_failed_ = failed;
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_answer_bytes);
     co_await http::async_read(connection->socket_, connection->buffer_, parser, redirect_error(use_awaitable, failed));
     clear_close_deadline(*connection);
-    co_return failed ? 0 : parser.get().result_int();
+    const bool whole = !failed && is_final(parser.get().result_int()) && !is_cut_short(parser, *connection);
+    co_return whole ? parser.get().result_int() : 0;
 }
 
 /// Sends a small request as an ordinary caller, which repeats it when it was refused for now or lost.
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -94,6 +94,13 @@
     CHECK(check_answers_are_whole(seen_of(request, {}), events).size() == 1);
 }
 
+TEST_CASE("bytes that are no answer are found, whatever status they begin with")
+{
+    auto request = request_of(call_kind::once, GENERATE(0, 200, 502));
+    request.malformed_ = true;
+    CHECK(check_answers_are_whole(seen_of(request, {}), events).size() == 1);
+}
+
 TEST_CASE("requests that nobody sent, that were changed or that carry a key are found")
 {
     auto note = note_of("run");
