--- a/tests/processes/tls_client.hpp
+++ b/tests/processes/tls_client.hpp
@@ -34,7 +34,8 @@
 class self_signed_files
 {
   public:
-    self_signed_files()
+    /// @param common_name the host name that the certificate is for
+    explicit self_signed_files(const std::string& common_name = "cornelstall-peer")
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "cornelstall-tls-XXXXXX").string();
         REQUIRE(::mkdtemp(pattern.data()) != nullptr);
@@ -46,7 +47,7 @@
         X509_gmtime_adj(X509_getm_notAfter(certificate.get()), one_day_s);
         X509_set_pubkey(certificate.get(), key.get());
         auto* const name = X509_get_subject_name(certificate.get());
-        const auto* const text = reinterpret_cast<const unsigned char*>("cornelstall-peer");
+        const auto* const text = reinterpret_cast<const unsigned char*>(common_name.c_str());
         X509_NAME_add_entry_by_txt(name, "CN", MBSTRING_ASC, text, -1, -1, 0);
         X509_set_issuer_name(certificate.get(), name);
         REQUIRE(X509_sign(certificate.get(), key.get(), EVP_sha256()) > 0);
