--- a/tests/gateway/early_answers_test.cpp
+++ b/tests/gateway/early_answers_test.cpp
@@ -108,16 +108,16 @@
 TEST_CASE("a request that may run again is answered whole by another server after a reset during the upload")
 {
     const auto kind = GENERATE(request_kind::idempotent, request_kind::streaming);
+    const std::string part{"HTTP/1.1 200 OK\r\n" + sealed + "\r\n" + two_events};
+    const std::string whole{kind == request_kind::streaming ? stream_events(3, 4) + last_chunk
+                                                            : plain_response("200 OK", "data: e4").bytes_};
     gateway_fixture gateway;
     activate_upload_route(gateway, kind);
     int sends = 0;
     for (int index = 0; index < 2; ++index)
     {
-        answer_early(*gateway.add_server([&sends, kind](const auto&) {
-            const bool streams = kind == request_kind::streaming;
-            const auto whole = streams ? stream_events(3, 4) + last_chunk : plain_response("200 OK", "data: e4").bytes_;
-            return ++sends == 1 ? scripted_response{.bytes_ = "HTTP/1.1 200 OK\r\n" + sealed + "\r\n" + two_events,
-                                                    .reset_ = true}
+        answer_early(*gateway.add_server([&sends, &part, &whole](const auto&) {
+            return ++sends == 1 ? scripted_response{.bytes_ = part, .reset_ = true}
                                 : scripted_response{.bytes_ = whole};
         }));
     }
--- a/tests/gateway/http_client_test.cpp
+++ b/tests/gateway/http_client_test.cpp
@@ -125,7 +125,7 @@
         scripted_response{.bytes_ = "HTTP/1.1 200 OK\r\n\r\n{", .reset_ = true});
     CAPTURE(response.bytes_);
     gateway_fixture gateway;
-    const auto server = gateway.add_server([&response](const auto&) { return response; });
+    const auto server = gateway.add_server([&response](const auto&) { return scripted_response(response); });
     const auto received = call_once(gateway, *server);
     CHECK(received.status_ == 0);
     CHECK(received.body_.empty());
--- a/tests/gateway/malformed_heads_test.cpp
+++ b/tests/gateway/malformed_heads_test.cpp
@@ -94,7 +94,7 @@
     CAPTURE(kind, response.bytes_, response.keep_open_);
     gateway_fixture gateway;
     gateway.activate_route(make_route(kind, 1));
-    gateway.add_server([response](const auto&) { return response; });
+    gateway.add_server([&response](const auto&) { return scripted_response(response); });
     const auto answer = gateway.send_raw_request(request_text("POST", {}, "book"));
     CHECK(answer.starts_with("HTTP/1.1 502"));
     CHECK_FALSE(contains(answer, "bogus"));
