--- a/packages/runtime/src/connection/server_connection.cpp
+++ b/packages/runtime/src/connection/server_connection.cpp
@@ -24,8 +24,8 @@
 using boost::asio::use_awaitable;
 using boost::asio::ip::tcp;
 
-constexpr int http_port = 80;
-constexpr int https_port = 443;
+constexpr unsigned short http_port = 80;
+constexpr unsigned short https_port = 443;
 
 /// Calls @a action with the stream that carries HTTP.
 template <class Action>
@@ -72,16 +72,16 @@
     }
 }
 
-int port_of(const web::uri& url)
+unsigned short port_of(const web::uri& url)
 {
-    const int default_port = url.scheme() == "https" ? https_port : http_port;
-    return url.port() > 0 ? url.port() : default_port;
+    const auto default_port = url.scheme() == "https" ? https_port : http_port;
+    return url.port() > 0 ? static_cast<unsigned short>(url.port()) : default_port;
 }
 
 /// The endpoints of the host of @a url; host names are resolved.
 task<std::vector<tcp::endpoint>> resolve(web::uri url, boost::system::error_code& failed)
 {
-    const auto port = static_cast<unsigned short>(port_of(url));
+    const auto port = port_of(url);
     boost::system::error_code not_numeric;
     const auto address = boost::asio::ip::make_address(url.host(), not_numeric);
     if (!not_numeric)
