Do not take other VMs past records that a full read has skipped

Cause: a VM that finds the log's history gone reads the full list. A server that was added and removed in between leaves no trace in it, but the VM reported its changes as complete from before its last record to the end of the read. A VM that knew the server took over that end and never read the record of the removal.

Change: a report names the offsets whose records its sender has not read. Their changes lead from the list before them to the list after them as a whole: VMs in between ignore the report and read the log, the changes stay in one datagram, and a VM that applies them names the same offsets itself. Changes that are already known are not kept a second time, so that they stay ordered. The same class on related paths: a page that begins after the requested offset, a page that ends before the end of the log, and a full read with pages missing no longer count as complete.

--- a/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
@@ -16,6 +16,15 @@
     log_offset at_;  ///< log offset of the record
 };
 
+/// @brief Offsets whose records a VM has not read, because the log no longer had them when the VM came back to it. Its
+/// changes with these offsets are the difference between the lists before and after, which has no trace of a server
+/// that was added and removed in between. They hold only for a VM that knows the list exactly up to `begin_` or less.
+struct unread_offsets
+{
+    log_offset begin_;  ///< first offset
+    log_offset end_;    ///< one past the last offset
+};
+
 /// @brief What a VM has read from the platform's log, as sent to the other VMs.
 struct log_update
 {
@@ -28,6 +37,7 @@
     log_offset changes_begin_;                     ///< first offset covered by `changes_`
     log_offset changes_end_;                       ///< one past the last offset covered by `changes_`
     std::vector<server_list_change> changes_;      ///< ordered by offset
+    std::optional<unread_offsets> unread_;         ///< within `changes_begin_` to `changes_end_`
     log_offset server_list_end_;     ///< one past the last offset known to the VM, from the log or from other VMs
     milliseconds removal_grace_{0};  ///< removals are deferred for so long after an outage that the VM has noticed
 };
@@ -47,11 +57,17 @@
 /// @param bound age that the data must not exceed
 [[nodiscard]] milliseconds max_failed_read_delay(std::size_t position, milliseconds reader_limit, milliseconds bound);
 
+/// @brief True when the changes of @a update bring a VM that knows the list exactly up to @a known_end to the list at
+/// `changes_end_`.
+[[nodiscard]] bool can_follow(const log_update& update, log_offset known_end);
+
 /// @brief Splits @a update into parts of at most @a max_changes changes with contiguous offset ranges. Only the last
-/// part has the age of the server list, because the others do not reach its end.
+/// part has the age of the server list, because the others do not reach its end. The changes of unread offsets stay in
+/// one part, because a VM must not apply some of them; when they are too many for that, the parts begin after them.
 [[nodiscard]] std::vector<log_update> split_log_update(const log_update& update, std::size_t max_changes);
 
-/// @brief Removes the changes before @a from and moves `changes_begin_` there.
+/// @brief Removes the changes before @a from and moves `changes_begin_` there, or to the end of the unread offsets that
+/// @a from is within.
 void drop_changes_before(log_update& update, log_offset from);
 
 }  // namespace cornelstall
--- a/packages/decisions/src/connection/log_update.cpp
+++ b/packages/decisions/src/connection/log_update.cpp
@@ -28,6 +28,45 @@
     return milliseconds{static_cast<std::int64_t>(share * static_cast<double>(bound.count()))};
 }
 
+using change_span = std::span<const server_list_change>;
+
+bool is_unread(const log_update& update, log_offset offset)
+{
+    return update.unread_ && update.unread_->begin_ <= offset && offset < update.unread_->end_;
+}
+
+/// The number of the first @a changes, of which there are more than @a max_changes, that go into one part.
+std::size_t part_size(const log_update& update, change_span changes, std::size_t max_changes)
+{
+    if (!is_unread(update, changes[max_changes].at_))
+    {
+        return max_changes;
+    }
+    const auto first_unread = std::ranges::find_if(
+        changes, [&update](const server_list_change& change) { return is_unread(update, change.at_); });
+    return static_cast<std::size_t>(first_unread - changes.begin());
+}
+
+/// One past the last offset that a part covers whose last change is at @a last.
+log_offset part_end(const log_update& update, log_offset last)
+{
+    return is_unread(update, last) ? update.unread_->end_ : last.next();
+}
+
+void drop_disjoint_unread(log_update& part)
+{
+    if (part.unread_ && (part.changes_end_ <= part.unread_->begin_ || part.unread_->end_ <= part.changes_begin_))
+    {
+        part.unread_.reset();
+    }
+}
+
+std::ptrdiff_t count_unread(const log_update& update)
+{
+    return std::ranges::count_if(update.changes_,
+                                 [&update](const server_list_change& change) { return is_unread(update, change.at_); });
+}
+
 }  // namespace
 
 milliseconds log_poll_delay(std::size_t position, milliseconds bound)
@@ -51,25 +90,41 @@
     return std::min(grace_end, learned_at + share_of(bound, max_deferral_share));
 }
 
+bool can_follow(const log_update& update, log_offset known_end)
+{
+    const bool stops_or_starts_within =
+        update.unread_ && (update.changes_end_ < update.unread_->end_ ||
+                           (update.unread_->begin_ < known_end && known_end < update.unread_->end_));
+    return update.changes_begin_ <= known_end && !stops_or_starts_within;
+}
+
 std::vector<log_update> split_log_update(const log_update& update, std::size_t max_changes)
 {
+    auto whole = update;
+    if (count_unread(whole) > static_cast<std::ptrdiff_t>(max_changes))
+    {
+        drop_changes_before(whole, whole.unread_->end_);
+    }
     std::vector<log_update> parts;
-    auto from = update.changes_begin_;
-    auto remaining = std::span(update.changes_);
+    auto from = whole.changes_begin_;
+    auto remaining = change_span(whole.changes_);
     while (remaining.size() > max_changes)
     {
-        log_update part = update;
+        const auto size = part_size(whole, remaining, max_changes);
+        log_update part = whole;
         part.server_list_age_.reset();
         part.changes_begin_ = from;
-        part.changes_end_ = remaining[max_changes - 1].at_.next();
-        part.changes_.assign(remaining.begin(), remaining.begin() + static_cast<std::ptrdiff_t>(max_changes));
+        part.changes_end_ = part_end(whole, remaining[size - 1].at_);
+        part.changes_.assign(remaining.begin(), remaining.begin() + static_cast<std::ptrdiff_t>(size));
+        drop_disjoint_unread(part);
         from = part.changes_end_;
-        remaining = remaining.subspan(max_changes);
+        remaining = remaining.subspan(size);
         parts.push_back(std::move(part));
     }
-    log_update last = update;
+    log_update last = whole;
     last.changes_begin_ = from;
     last.changes_.assign(remaining.begin(), remaining.end());
+    drop_disjoint_unread(last);
     parts.push_back(std::move(last));
     return parts;
 }
@@ -77,6 +132,11 @@
 void drop_changes_before(log_update& update, log_offset from)
 {
     update.changes_begin_ = std::max(update.changes_begin_, std::min(from, update.changes_end_));
+    if (update.unread_ && update.unread_->begin_ < update.changes_begin_)
+    {
+        update.changes_begin_ = std::max(update.changes_begin_, update.unread_->end_);
+        update.unread_.reset();
+    }
     std::erase_if(update.changes_,
                   [&update](const server_list_change& change) { return change.at_ < update.changes_begin_; });
 }
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -49,7 +49,8 @@
     std::chrono::nanoseconds read_at_{0};           ///< boot time of this VM's last read of the log
     std::chrono::nanoseconds own_confirmed_at_{0};  ///< like `confirmed_at_`, from own reads only; reports carry it
     log_offset changes_begin_;                      ///< `changes_` is complete from here to `next_`
-    std::deque<recent_change> changes_;             ///< recent changes, for VMs that lack them
+    std::deque<recent_change> changes_;             ///< recent changes, ordered by offset, for VMs that lack them
+    std::optional<unread_offsets> unread_;          ///< offsets that `changes_` spans without their records
     time_point defer_removals_until_;  ///< until then a removal may be an entry that expired in an outage of the log
     time_point reported_grace_end_;    ///< as before, if this VM noticed the outage itself; reports carry it
     std::map<server_id, deferred_removal> deferred_removals_;
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -128,7 +128,8 @@
     {
         auto page = co_await self.log_.read_newest_();
         update_reachability(self, page.reached_);
-        if (page.reached_)
+        // A server that is missing in a part of the list has not left.
+        if (page.reached_ && page.complete_)
         {
             reset(self.backoff_);
             co_return page;
@@ -143,7 +144,8 @@
 {
     auto& list = self.state_.server_list_;
     const auto requested_at = boot_time();
-    const auto page = co_await self.log_.read_from_(list.next_, milliseconds{0});
+    const auto from = list.next_;
+    const auto page = co_await self.log_.read_from_(from, milliseconds{0});
     update_reachability(self, page.reached_);
     if (!page.reached_)
     {
@@ -151,12 +153,13 @@
         co_return true;
     }
     reset(self.backoff_);
-    if (page.expired_)
+    if (page.expired_ || page.first_ > from)
     {
         co_return false;
     }
     std::ranges::for_each(page.records_, [&self](const keyed_record& record) { apply_record(self, record); });
-    confirm_list_read(self.state_, page.next_, requested_at);
+    const bool reaches_end = page.next_ >= page.end_;
+    confirm_list_read(self.state_, page.next_, reaches_end ? requested_at : std::chrono::nanoseconds{0});
     list.updates_ = {};
     apply_deferred_removals(self.state_);
     self.state_.schedule_load_report_();
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -18,6 +18,7 @@
 constexpr event_kind server_removed{4043, "server_removed"};
 constexpr event_kind removal_deferred{4061, "server_removal_deferred"};
 constexpr event_kind list_behind{4062, "server_list_behind"};
+constexpr event_kind list_read_again{4064, "server_list_read_again"};
 
 /// This VM sends what it read itself until the read is this old. VMs that receive nothing newer read the log
 /// themselves.
@@ -58,6 +59,30 @@
     }
 }
 
+/// Keeps @a change for the VMs that lack it. What lies before the known end is there already: a read may be answered
+/// after reports of other VMs that reach further.
+void keep_change(server_list& list, const server_list_change& change, time_point now)
+{
+    if (change.at_ >= list.next_)
+    {
+        list.changes_.push_back({now, change});
+    }
+}
+
+/// Records that the changes from @a unread on are the difference of two lists. Of several such differences only the
+/// latest is sent to other VMs.
+void add_unread(server_list& list, const unread_offsets& unread)
+{
+    if (list.unread_)
+    {
+        list.changes_begin_ = std::max(list.changes_begin_, list.unread_->end_);
+        std::erase_if(list.changes_, [begin = list.changes_begin_](const recent_change& recent) {
+            return recent.change_.at_ < begin;
+        });
+    }
+    list.unread_ = unread;
+}
+
 /// True when a ready server may have been removed only because it could not renew its entry during an outage of the
 /// log.
 bool should_defer_removal(const gateway_state& state, const server_id& id, time_point now)
@@ -79,8 +104,6 @@
     }
     if (is_newer_entry(state.directory_, change.server_.id_, change.at_))
     {
-        // Also when nothing changes here: VMs that have applied a removal that was deferred here need the entry.
-        list.changes_.push_back({now, change});
         list.deferred_removals_.erase(change.server_.id_);
     }
     if (!upsert_listed_server(state.directory_, change.server_, change.at_, now))
@@ -105,6 +128,10 @@
         list.changes_begin_ = std::max(list.changes_begin_, list.changes_.front().change_.at_.next());
         list.changes_.pop_front();
     }
+    if (list.unread_ && list.unread_->end_ <= list.changes_begin_)
+    {
+        list.unread_.reset();
+    }
 }
 
 /// True when a change that another VM sent can be applied; that VM may run a release that accepted an odd entry.
@@ -115,9 +142,8 @@
            (change.removed_ || (endpoint && endpoint->port() != 0 && change.server_.slots_ > 0));
 }
 
-}  // namespace
-
-void apply_change(gateway_state& state, const server_list_change& change, const std::string& source)
+/// Applies @a change to the directory without keeping it for other VMs.
+void apply_to_directory(gateway_state& state, const server_list_change& change, const std::string& source)
 {
     if (!change.removed_)
     {
@@ -125,7 +151,6 @@
         return;
     }
     const auto now = std::chrono::steady_clock::now();
-    state.server_list_.changes_.push_back({now, change});
     if (should_defer_removal(state, change.server_.id_, now))
     {
         const auto due = removal_due(now, state.server_list_.defer_removals_until_, state.settings_.staleness_bound_);
@@ -142,6 +167,14 @@
     remove_server(state, change.server_.id_, change.at_, source);
 }
 
+}  // namespace
+
+void apply_change(gateway_state& state, const server_list_change& change, const std::string& source)
+{
+    keep_change(state.server_list_, change, std::chrono::steady_clock::now());
+    apply_to_directory(state, change, source);
+}
+
 void handle_list_recovery(gateway_state& state)
 {
     if (age_of(state.server_list_.confirmed_at_) >= min_expiry_outage)
@@ -173,9 +206,28 @@
                      log_offset next)
 {
     auto& list = state.server_list_;
+    if (list.listed_ && list.next_ < next)
+    {
+        log_event(severity::info, list_read_again,
+                  "the full server list was read again, without the records in between",
+                  {{"known_end", std::to_string(list.next_.get())},
+                   {"offset", std::to_string(next.get())},
+                   {"servers", std::to_string(listed.size())},
+                   {"list_age_ms", std::to_string(server_list_age(state).count())}});
+        add_unread(list, {list.next_, next});
+    }
     // Log updates to other VMs carry these changes like those that were read one by one, ordered by offset.
     std::ranges::sort(entries, {}, &server_list_change::at_);
-    std::ranges::for_each(entries, [&state](const server_list_change& entry) { apply_change(state, entry); });
+    std::ranges::for_each(entries, [&state, next](const server_list_change& entry) {
+        // The pages of the read are no snapshot. What is newer than the first of them is read once more as a record,
+        // which the other VMs get in its turn.
+        if (entry.at_ < next)
+        {
+            apply_change(state, entry);
+            return;
+        }
+        apply_to_directory(state, entry, log_read);
+    });
     std::vector<server_id> unlisted;
     std::ranges::copy_if(state.directory_.servers_ | std::views::keys, std::back_inserter(unlisted),
                          [&listed](const server_id& id) { return !listed.contains(id); });
@@ -192,6 +244,7 @@
     if (!list.listed_)
     {
         list.changes_.clear();
+        list.unread_.reset();
         list.changes_begin_ = next;
         list.listed_ = true;
     }
@@ -238,6 +291,7 @@
         update.server_list_age_ = age_of(list.own_confirmed_at_);
         update.changes_begin_ = list.changes_begin_;
         update.changes_end_ = list.next_;
+        update.unread_ = list.unread_;
         std::ranges::transform(list.changes_, std::back_inserter(update.changes_), &recent_change::change_);
         drop_changes_before(update, oldest_missing_offset(state.peers_, list.next_, reader_silence_limit, now));
         if (update.changes_.size() > max_changes_per_update)
@@ -265,7 +319,7 @@
         state.evacuations_confirmed_at_ = std::max(state.evacuations_confirmed_at_, now - *update.routing_table_age_);
     }
     auto& list = state.server_list_;
-    if (!list.listed_ || list.next_ < update.changes_begin_)
+    if (!list.listed_ || !can_follow(update, list.next_))
     {
         ++list.updates_.with_gap_;
         return;
@@ -274,6 +328,10 @@
     list.defer_removals_until_ =
         std::max(list.defer_removals_until_,
                  std::chrono::steady_clock::now() + std::min(update.removal_grace_, removal_grace_period));
+    if (update.unread_ && list.next_ <= update.unread_->begin_)
+    {
+        add_unread(list, *update.unread_);
+    }
     std::ranges::for_each(update.changes_, [&state, &source, known_end = list.next_](const server_list_change& change) {
         if (change.at_ >= known_end && is_usable(change))
         {
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -185,6 +185,11 @@
     message.set_list_known(news.server_list_end_.get());
     message.set_removal_grace_ms(
         static_cast<std::uint32_t>(std::clamp<std::int64_t>(news.removal_grace_.count(), 0, max_time_ms)));
+    if (news.unread_)
+    {
+        message.set_unread_from(news.unread_->begin_.get());
+        message.set_unread_next(news.unread_->end_.get());
+    }
     if (news.evacuations_)
     {
         encode_evacuations(*message.mutable_evacuations(), *news.evacuations_);
@@ -203,6 +208,10 @@
     news.changes_end_ = log_offset{message.list_next()};
     news.server_list_end_ = log_offset{message.list_known()};
     news.removal_grace_ = decode_time(message.removal_grace_ms());
+    if (message.unread_next() > message.unread_from())
+    {
+        news.unread_ = unread_offsets{log_offset{message.unread_from()}, log_offset{message.unread_next()}};
+    }
     if (message.has_evacuations())
     {
         news.evacuations_ = decode_evacuations(message.evacuations());
--- a/tests/decisions/log_update_test.cpp
+++ b/tests/decisions/log_update_test.cpp
@@ -82,6 +82,39 @@
     CHECK(parts[1].server_list_age_ == milliseconds{20});
 }
 
+// Guards against VMs that apply a part of the difference of two lists and take themselves to be up to date.
+TEST_CASE("the difference of two lists stays in one part of a log update, or is left out")
+{
+    log_update update;
+    update.server_list_age_ = milliseconds{20};
+    update.changes_begin_ = log_offset{5};
+    update.changes_end_ = log_offset{40};
+    update.unread_ = unread_offsets{log_offset{20}, log_offset{35}};
+    for (const std::uint64_t at : {10U, 20U, 30U, 36U})
+    {
+        server_list_change change;
+        change.at_ = log_offset{at};
+        update.changes_.push_back(change);
+    }
+    CHECK(can_follow(update, log_offset{20}));
+    CHECK_FALSE(can_follow(update, log_offset{21}));
+    CHECK_FALSE(can_follow(update, log_offset{34}));
+    CHECK(can_follow(update, log_offset{35}));
+    const auto parts = split_log_update(update, 2);
+    REQUIRE(parts.size() == 3);
+    CHECK(parts[0].changes_end_ == log_offset{11});
+    CHECK_FALSE(parts[0].unread_);
+    CHECK(parts[1].changes_.size() == 2);
+    CHECK(parts[1].changes_end_ == log_offset{35});
+    REQUIRE(parts[1].unread_);
+    CHECK(parts[2].changes_begin_ == log_offset{35});
+    CHECK_FALSE(parts[2].unread_);
+    const auto without_difference = split_log_update(update, 1);
+    REQUIRE(without_difference.size() == 1);
+    CHECK(without_difference[0].changes_begin_ == log_offset{35});
+    CHECK(without_difference[0].changes_.size() == 1);
+}
+
 // Changes before this offset are dropped. A later offset would leave a gap at the VM that lags most.
 TEST_CASE("the oldest missing offset is that of the live VM that lags most")
 {
--- a/tests/gateway/server_list_test.cpp
+++ b/tests/gateway/server_list_test.cpp
@@ -154,6 +154,31 @@
     CHECK(state.directory_.servers_.contains(server_id{"b"}));
 }
 
+// Guards against a VM that misses a server between its known end and a full read, and makes the others skip its
+// removal.
+TEST_CASE("after a full read a VM does not take others past a removal that it has not seen")
+{
+    gateway_fixture reader;
+    gateway_fixture follower;
+    for (auto* const state : {&reader.state_, &follower.state_})
+    {
+        apply_change(*state, make_change("a", 1, server_state::ready));
+        confirm_list_read(*state, log_offset{2}, boot_time());
+    }
+    apply_change(follower.state_, make_change("b", 2, server_state::ready));
+    confirm_list_read(follower.state_, log_offset{3}, boot_time());
+    // The reader stood still meanwhile, and the log has forgotten the records 2 (b is added) and 3 (b is removed).
+    apply_full_list(reader.state_, {make_change("a", 1, server_state::ready)}, {server_id{"a"}}, log_offset{4});
+    confirm_list_read(reader.state_, log_offset{4}, boot_time());
+    auto& lagging_vm = reader.state_.peers_.peers_[vm_id{"vm-2"}];
+    lagging_vm.heard_at_ = std::chrono::steady_clock::now();
+    lagging_vm.server_list_end_ = log_offset{2};
+    apply_log_update(follower.state_, make_log_update(reader.state_), {});
+    CHECK(follower.state_.server_list_.next_ == log_offset{3});
+    apply_change(follower.state_, make_change("b", 3, server_state::ready, true));
+    CHECK(follower.state_.directory_.servers_.size() == 1);
+}
+
 TEST_CASE("changes that a VM read are sent to a lagging VM until they expire")
 {
     gateway_fixture gateway;
--- a/tests/wire/load_codec_test.cpp
+++ b/tests/wire/load_codec_test.cpp
@@ -108,6 +108,21 @@
     CHECK_FALSE(decode_load_report("", now));
 }
 
+TEST_CASE("unread offsets of a log update are reported")
+{
+    auto written = report_with(1);
+    written.log_update_.unread_ = unread_offsets{log_offset{0}, log_offset{1ULL << 62U}};
+    auto report = decode_load_report(encode_load_report(written, byte_count{1400}, now), now);
+    REQUIRE(report);
+    REQUIRE(report->log_update_.unread_);
+    CHECK(report->log_update_.unread_->begin_ == log_offset{0});
+    CHECK(report->log_update_.unread_->end_ == log_offset{1ULL << 62U});
+    written.log_update_.unread_.reset();
+    report = decode_load_report(encode_load_report(written, byte_count{1400}, now), now);
+    REQUIRE(report);
+    CHECK_FALSE(report->log_update_.unread_);
+}
+
 TEST_CASE("leaving servers are reported with the age of their announcement")
 {
     auto written = report_with(1);
