Conclude that the server list was away from known reads, not from own pauses

Callers: while a VM restarted, requests went to a server for up to 2.4 s after its entry was removed, through VMs that nothing had disturbed.

Cause: the first read after 2.5 s without a confirmation counted as the end of an outage of the log. A process that starts has no confirmation, so each start counted; it told all other VMs to put off removals, and they did, although they had been reading the log all the while.

Change: a report no longer asks others to put off removals. It carries the span of reads without a pause of 2.5 s that its sender knows of; spans that touch become one, and a VM puts off removals only after a pause between two spans. A VM that starts has seen no pause. A VM that was cut off or frozen is corrected by the first report of one that was reading, and applies at once what it had put off. A removal that is read again is due as before. The tests of the grace period set the new fields; what they check is unchanged, and "a removal is applied at once if another VM*" now has a VM with a past.

--- a/packages/decisions/include/cornelstall/decisions.hpp
+++ b/packages/decisions/include/cornelstall/decisions.hpp
@@ -21,6 +21,7 @@
 #include "cornelstall/decisions/process/engine_summary.hpp"
 #include "cornelstall/decisions/process/evacuations.hpp"
 #include "cornelstall/decisions/process/fleet_view.hpp"
+#include "cornelstall/decisions/process/known_reads.hpp"
 #include "cornelstall/decisions/process/lease.hpp"
 #include "cornelstall/decisions/process/limit_shares.hpp"
 #include "cornelstall/decisions/process/membership.hpp"
--- a/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
@@ -25,6 +25,13 @@
     log_offset end_;    ///< one past the last offset
 };
 
+/// @brief A span of reads of the log without an outage, as `known_reads`, of which the last was made by the sender.
+struct reported_reads
+{
+    milliseconds since_age_{0};
+    milliseconds until_age_{0};
+};
+
 /// @brief What a VM has read from the platform's log, as sent to the other VMs.
 struct log_update
 {
@@ -38,8 +45,11 @@
     log_offset changes_end_;                       ///< one past the last offset covered by `changes_`
     std::vector<server_list_change> changes_;      ///< ordered by offset
     std::optional<unread_offsets> unread_;         ///< within `changes_begin_` to `changes_end_`
-    log_offset server_list_end_;     ///< one past the last offset known to the VM, from the log or from other VMs
-    milliseconds removal_grace_{0};  ///< removals are deferred for so long after an outage that the VM has noticed
+    log_offset server_list_end_;  ///< one past the last offset known to the VM, from the log or from other VMs
+    std::optional<reported_reads> reads_;
+    /// How long the sender still defers removals after an outage. VMs of former releases, which report no reads, and
+    /// this value say that an outage came before the reads.
+    milliseconds removal_grace_{0};
 };
 
 /// @brief When a removal that was learned at @a learned_at is applied although the entry may only have expired in an
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -136,6 +136,11 @@
     };
     add(report.log_update_.routing_table_age_);
     add(report.log_update_.server_list_age_);
+    if (auto& reads = report.log_update_.reads_)
+    {
+        reads->since_age_ += delay;
+        reads->until_age_ += delay;
+    }
     auto& grace = report.log_update_.removal_grace_;
     grace = std::max(milliseconds{0}, grace - delay);
     std::ranges::for_each(report.leaving_servers_, [delay](leaving_server& server) { server.age_ += delay; });
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -51,8 +51,7 @@
     log_offset changes_begin_;                      ///< `changes_` is complete from here to `next_`
     std::deque<recent_change> changes_;             ///< recent changes, ordered by offset, for VMs that lack them
     std::optional<unread_offsets> unread_;          ///< offsets that `changes_` spans without their records
-    time_point defer_removals_until_;  ///< until then a removal may be an entry that expired in an outage of the log
-    time_point reported_grace_end_;    ///< as before, if this VM noticed the outage itself; reports carry it
+    known_reads reads_;                             ///< by this VM and by those whose reports it has received
     std::map<server_id, deferred_removal> deferred_removals_;
     update_counts updates_;  ///< since the list was last confirmed
 };
@@ -67,12 +66,13 @@
 void apply_full_list(gateway_state& state, std::vector<server_list_change> entries, const std::set<server_id>& listed,
                      log_offset next);
 
-/// @brief Called when this VM can read the list again. If no VM could read it before, removals are deferred for a grace
-/// period: servers could not renew their entries during the outage either.
-void handle_list_recovery(gateway_state& state);
+/// @brief Records that the log has just answered a read of this VM that was sent at @a requested_at, before what was
+/// read is applied. If no VM had read the list for some time, removals are deferred for a grace period: servers could
+/// not renew their entries during the outage either.
+void record_list_read(gateway_state& state, std::chrono::nanoseconds requested_at);
 
 /// @brief Removes the servers that have not renewed their entries within the grace period, unless the log is away
-/// again.
+/// again, and those whose removal was deferred for an outage that there was not, as other VMs have reported since.
 void apply_deferred_removals(gateway_state& state);
 
 /// @brief Records that the list is known up to, but not including, @a next and was up to date at @a confirmed_at.
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -118,7 +118,6 @@
                   "cannot read the server list; keeping the last known list and retrying");
         return;
     }
-    handle_list_recovery(state);
     log_event(severity::info, list_reached, "the server list can be read");
 }
 
@@ -126,12 +125,14 @@
 {
     while (true)
     {
+        const auto requested_at = boot_time();
         auto page = co_await self.log_.read_newest_();
         update_reachability(self, page.reached_);
         // A server that is missing in a part of the list has not left.
         if (page.reached_ && page.complete_)
         {
             reset(self.backoff_);
+            record_list_read(self.state_, requested_at);
             co_return page;
         }
         co_await back_off(self);
@@ -153,6 +154,7 @@
         co_return true;
     }
     reset(self.backoff_);
+    record_list_read(self.state_, requested_at);
     if (page.expired_ || page.first_ > from)
     {
         co_return false;
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -31,11 +31,6 @@
 /// Room for evacuation requests in a load report: the names of all data centres of the largest deployment. The rest of
 /// the datagram is for the load.
 constexpr byte_count max_evacuation_bytes{512};
-/// Servers whose entries expired during an outage of the log register again within 2 s of its recovery.
-constexpr milliseconds removal_grace_period{2500};
-/// Entries expire after three missed heartbeats. A log that some VM read less than this time ago has not been
-/// unavailable for that long, so that no entry expired because of an outage.
-constexpr milliseconds min_expiry_outage{2500};
 /// A VM that has been silent for three report intervals does not count as a log reader.
 constexpr milliseconds reader_silence_limit{1000};
 
@@ -85,11 +80,11 @@
 
 /// True when a ready server may have been removed only because it could not renew its entry during an outage of the
 /// log.
-bool should_defer_removal(const gateway_state& state, const server_id& id, time_point now)
+bool should_defer_removal(const gateway_state& state, const server_id& id)
 {
     const auto found = state.directory_.servers_.find(id);
-    return now < state.server_list_.defer_removals_until_ && found != state.directory_.servers_.end() &&
-           found->second.listed_.state_ == server_state::ready;
+    return removal_grace(state.server_list_.reads_, boot_time()) > milliseconds{0} &&
+           found != state.directory_.servers_.end() && found->second.listed_.state_ == server_state::ready;
 }
 
 void apply_upsert(gateway_state& state, const server_list_change& change, const std::string& source)
@@ -142,6 +137,21 @@
            (change.removed_ || (endpoint && endpoint->port() != 0 && change.server_.slots_ > 0));
 }
 
+/// Adds what the sender of @a update knows of reads of the log. Also of an update whose changes cannot be applied.
+void add_reported_reads(known_reads& known, const log_update& update, std::chrono::nanoseconds now)
+{
+    const bool after_outage = update.removal_grace_ > milliseconds{0};
+    if (update.reads_)
+    {
+        add_reads(known, {now - update.reads_->since_age_, now - update.reads_->until_age_, after_outage});
+    }
+    else if (after_outage)
+    {
+        const auto outage_end = now + std::min(update.removal_grace_, removal_grace_period) - removal_grace_period;
+        add_reads(known, {outage_end, outage_end, true});
+    }
+}
+
 /// Applies @a change to the directory without keeping it for other VMs.
 void apply_to_directory(gateway_state& state, const server_list_change& change, const std::string& source)
 {
@@ -150,17 +160,26 @@
         apply_upsert(state, change, source);
         return;
     }
-    const auto now = std::chrono::steady_clock::now();
-    if (should_defer_removal(state, change.server_.id_, now))
+    if (should_defer_removal(state, change.server_.id_))
     {
-        const auto due = removal_due(now, state.server_list_.defer_removals_until_, state.settings_.staleness_bound_);
-        state.server_list_.deferred_removals_[change.server_.id_] = {change.at_, due};
+        const auto now = std::chrono::steady_clock::now();
+        const auto grace_end = now + removal_grace(state.server_list_.reads_, boot_time());
+        const auto due = removal_due(now, grace_end, state.settings_.staleness_bound_);
+        const auto [deferred, inserted] =
+            state.server_list_.deferred_removals_.try_emplace(change.server_.id_, change.at_, due);
+        if (!inserted)
+        {
+            // Read again; it is due as before.
+            deferred->second.at_ = std::max(deferred->second.at_, change.at_);
+            return;
+        }
         const auto left = std::chrono::ceil<milliseconds>(due - now);
         log_event(severity::info, removal_deferred,
                   "the entry of a ready server may have expired in an outage of the log; the server is kept for a time",
                   {{"server", change.server_.id_.get()},
                    {"offset", std::to_string(change.at_.get())},
                    {"source", source},
+                   {"readable_for_ms", std::to_string(age_of(state.server_list_.reads_.since_).count())},
                    {"for_ms", std::to_string(left.count())}});
         return;
     }
@@ -175,14 +194,11 @@
     apply_to_directory(state, change, source);
 }
 
-void handle_list_recovery(gateway_state& state)
+void record_list_read(gateway_state& state, std::chrono::nanoseconds requested_at)
 {
-    if (age_of(state.server_list_.confirmed_at_) >= min_expiry_outage)
-    {
-        auto& list = state.server_list_;
-        list.reported_grace_end_ = std::chrono::steady_clock::now() + removal_grace_period;
-        list.defer_removals_until_ = list.reported_grace_end_;
-    }
+    // The log may have been away until it answered, and again as soon as it had received the request.
+    state.server_list_.read_at_ = boot_time();
+    add_reads(state.server_list_.reads_, {state.server_list_.read_at_, requested_at, false});
 }
 
 void apply_deferred_removals(gateway_state& state)
@@ -192,8 +208,9 @@
     {
         return;
     }
-    std::erase_if(removals, [&state, now = std::chrono::steady_clock::now()](const auto& entry) {
-        const bool is_due = entry.second.due_at_ <= now;
+    const bool is_grace_over = removal_grace(state.server_list_.reads_, boot_time()) == milliseconds{0};
+    std::erase_if(removals, [&state, is_grace_over, now = std::chrono::steady_clock::now()](const auto& entry) {
+        const bool is_due = is_grace_over || entry.second.due_at_ <= now;
         if (is_due)
         {
             remove_server(state, entry.first, entry.second.at_, "deferred");
@@ -259,7 +276,7 @@
 void confirm_list_read(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at)
 {
     confirm_list(state, next, confirmed_at);
-    state.server_list_.read_at_ = boot_time();
+    record_list_read(state, confirmed_at);
     state.server_list_.own_confirmed_at_ = std::max(state.server_list_.own_confirmed_at_, confirmed_at);
 }
 
@@ -279,8 +296,11 @@
     log_update update;
     update.log_reachable_ = state.server_list_reachable_;
     update.server_list_end_ = list.listed_ ? list.next_ : log_offset{0};
-    update.removal_grace_ =
-        std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(list.reported_grace_end_ - now));
+    update.removal_grace_ = removal_grace(list.reads_, boot_time());
+    if (list.listed_ && list.read_at_ >= list.reads_.since_)
+    {
+        update.reads_ = reported_reads{age_of(list.reads_.since_), age_of(list.own_confirmed_at_)};
+    }
     if (state.table_ && age_of(state.table_read_at_) < max_own_read_age)
     {
         update.routing_table_age_ = age_of(state.table_own_confirmed_at_);
@@ -319,15 +339,13 @@
         state.evacuations_confirmed_at_ = std::max(state.evacuations_confirmed_at_, now - *update.routing_table_age_);
     }
     auto& list = state.server_list_;
+    add_reported_reads(list.reads_, update, now);
     if (!list.listed_ || !can_follow(update, list.next_))
     {
         ++list.updates_.with_gap_;
         return;
     }
     ++(update.server_list_age_ ? list.updates_.applied_ : list.updates_.without_age_);
-    list.defer_removals_until_ =
-        std::max(list.defer_removals_until_,
-                 std::chrono::steady_clock::now() + std::min(update.removal_grace_, removal_grace_period));
     if (update.unread_ && list.next_ <= update.unread_->begin_)
     {
         add_unread(list, *update.unread_);
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -21,6 +21,8 @@
 /// Counts above these are read as these, so that a malformed report cannot overflow a sum or keep a forecast busy.
 constexpr std::uint32_t max_tokens = 1'000'000'000;
 constexpr std::uint32_t max_time_ms = 24U * 3600 * 1000;
+/// The first read of a span may have been weeks ago; older than this makes no difference.
+constexpr milliseconds max_reads_age{max_time_ms};
 constexpr std::uint32_t max_vms = 100'000;
 constexpr std::uint32_t max_parts = 1000;
 constexpr std::uint32_t max_slots = 100'000;
@@ -185,6 +187,11 @@
     message.set_list_known(news.server_list_end_.get());
     message.set_removal_grace_ms(
         static_cast<std::uint32_t>(std::clamp<std::int64_t>(news.removal_grace_.count(), 0, max_time_ms)));
+    if (news.reads_)
+    {
+        message.set_reads_since_age_plus_1(age_plus_1(std::min(news.reads_->since_age_, max_reads_age)));
+        message.set_reads_until_age_plus_1(age_plus_1(std::min(news.reads_->until_age_, max_reads_age)));
+    }
     if (news.unread_)
     {
         message.set_unread_from(news.unread_->begin_.get());
@@ -208,6 +215,13 @@
     news.changes_end_ = log_offset{message.list_next()};
     news.server_list_end_ = log_offset{message.list_known()};
     news.removal_grace_ = decode_time(message.removal_grace_ms());
+    const auto reads_since_age = age_of(message.reads_since_age_plus_1());
+    const auto reads_until_age = age_of(message.reads_until_age_plus_1());
+    if (reads_since_age && reads_until_age)
+    {
+        news.reads_ =
+            reported_reads{std::min(*reads_since_age, max_reads_age), std::min(*reads_until_age, max_reads_age)};
+    }
     if (message.unread_next() > message.unread_from())
     {
         news.unread_ = unread_offsets{log_offset{message.unread_from()}, log_offset{message.unread_next()}};
--- a/tests/gateway/fake_topic.hpp
+++ b/tests/gateway/fake_topic.hpp
@@ -27,6 +27,7 @@
     std::vector<keyed_record> records_;  ///< each at the offset of its index
     std::size_t hidden_ = 0;             ///< records at the end that a faulty read of the newest ones leaves out
     std::size_t first_ = 0;              ///< records before this one have been discarded
+    bool reachable_ = true;
     int newest_reads_ = 0;
     std::size_t lowest_read_ = 1000;  ///< lowest offset that changes were asked from
 
@@ -42,7 +43,7 @@
         std::ranges::for_each(self->records_, [&newest](const keyed_record& record) { newest[record.key_] = record; });
         std::erase_if(newest, [](const auto& entry) { return entry.second.removed_; });
         record_page page;
-        page.reached_ = true;
+        page.reached_ = self->reachable_;
         page.complete_ = self->hidden_ == 0;
         for (const auto& [key, record] : newest)
         {
@@ -60,7 +61,7 @@
     {
         self->lowest_read_ = std::min<std::size_t>(self->lowest_read_, from.get());
         record_page page;
-        page.reached_ = true;
+        page.reached_ = self->reachable_;
         page.first_ = std::max(from, log_offset{self->first_});
         page.end_ = log_offset{self->records_.size()};
         page.next_ = page.first_;
--- a/tests/gateway/follow_servers_test.cpp
+++ b/tests/gateway/follow_servers_test.cpp
@@ -29,8 +29,69 @@
     return gateway.state_.directory_.servers_.contains(server_id{id});
 }
 
+/// A VM that has known the server `a` for a while and has read the list a moment ago.
+void read_list_of_a(gateway_state& state)
+{
+    server_list_change entry;
+    entry.server_ = *decode_entry({"a", "{}", false, log_offset{0}});
+    apply_change(state, entry);
+    confirm_list_read(state, log_offset{1}, boot_time() - milliseconds{300});
+}
+
+server_list_change removal_of_a()
+{
+    server_list_change removal;
+    removal.server_.id_ = server_id{"a"};
+    removal.removed_ = true;
+    removal.at_ = log_offset{1};
+    return removal;
+}
+
 }  // namespace
 
+// Guards against a VM that takes the first read after its own start for the end of an outage of the log.
+TEST_CASE("a VM that starts does not make the others keep a server that is removed")
+{
+    gateway_fixture starting;
+    gateway_fixture other;
+    fake_operator_topic topic;
+    topic.add("a", "{}");
+    follow(starting, topic);
+    REQUIRE(starting.run_until([&starting] { return knows(starting, "a"); }));
+    read_list_of_a(other.state_);
+    apply_log_update(other.state_, make_log_update(starting.state_), {});
+    apply_change(other.state_, removal_of_a());
+    CHECK_FALSE(knows(other, "a"));
+}
+
+// Guards against a VM that takes the end of its own cut for the end of an outage of the log, as it did after 2.5 s.
+TEST_CASE("a VM that was cut off makes nobody keep a server that is removed, once it hears of the others' reads")
+{
+    gateway_fixture returning;
+    gateway_fixture other;
+    fake_operator_topic topic;
+    topic.add("a", "{}");
+    follow(returning, topic);
+    REQUIRE(returning.run_until([&returning] { return knows(returning, "a"); }));
+    topic.reachable_ = false;
+    auto& state = returning.state_;
+    REQUIRE(returning.run_until([&state] { return !state.server_list_reachable_; }));
+    const auto cut_at = boot_time() - std::chrono::seconds{10};
+    state.server_list_.confirmed_at_ = cut_at;
+    state.server_list_.reads_ = {cut_at, cut_at, false};
+    topic.reachable_ = true;
+    REQUIRE(returning.run_until([&state] { return state.server_list_reachable_; }));
+    read_list_of_a(other.state_);
+    other.state_.server_list_.reads_.since_ -= std::chrono::seconds{20};
+    apply_log_update(other.state_, make_log_update(state), {});
+    apply_change(other.state_, removal_of_a());
+    CHECK_FALSE(knows(other, "a"));
+    apply_change(state, removal_of_a());
+    CHECK(knows(returning, "a"));
+    apply_log_update(state, make_log_update(other.state_), {});
+    CHECK_FALSE(knows(returning, "a"));
+}
+
 // Guards against a VM that takes the servers in the missing part of a read for removed.
 TEST_CASE("a partial read of the server list removes no server")
 {
--- a/tests/gateway/server_list_test.cpp
+++ b/tests/gateway/server_list_test.cpp
@@ -21,11 +21,18 @@
     return change;
 }
 
+/// Lets @a state read the log for the first time after an outage of 10 s.
+void return_after_outage(gateway_state& state)
+{
+    state.server_list_.confirmed_at_ = boot_time() - std::chrono::seconds{10};
+    state.server_list_.reads_ = {boot_time() - std::chrono::seconds{20}, state.server_list_.confirmed_at_, false};
+    record_list_read(state, boot_time());
+}
+
 /// Makes the deferred removals of @a state due.
 void end_grace_period(gateway_state& state)
 {
     const auto now = std::chrono::steady_clock::now();
-    state.server_list_.defer_removals_until_ = now;
     std::ranges::for_each(state.server_list_.deferred_removals_, [now](auto& entry) { entry.second.due_at_ = now; });
 }
 
@@ -210,8 +217,7 @@
     apply_change(state, make_change("a", 1, server_state::ready));
     apply_change(state, make_change("b", 2, server_state::ready));
     apply_change(state, make_change("c", 3, server_state::draining));
-    state.server_list_.confirmed_at_ = boot_time() - std::chrono::seconds{10};
-    handle_list_recovery(state);
+    return_after_outage(state);
     apply_change(state, make_change("a", 4, server_state::ready, true));
     apply_change(state, make_change("b", 5, server_state::ready, true));
     apply_change(state, make_change("c", 6, server_state::ready, true));
@@ -229,8 +235,7 @@
     gateway_fixture gateway;
     auto& state = gateway.state_;
     apply_change(state, make_change("a", 1, server_state::ready));
-    state.server_list_.confirmed_at_ = boot_time() - std::chrono::seconds{10};
-    handle_list_recovery(state);
+    return_after_outage(state);
     apply_change(state, make_change("a", 5, server_state::ready, true));
     apply_change(state, make_change("a", 3, server_state::ready));
     confirm_list(state, log_offset{6}, boot_time());
@@ -245,13 +250,11 @@
     gateway_fixture gateway;
     auto& state = gateway.state_;
     apply_change(state, make_change("a", 1, server_state::ready));
-    state.server_list_.confirmed_at_ = boot_time() - std::chrono::seconds{10};
-    handle_list_recovery(state);
+    return_after_outage(state);
     apply_change(state, make_change("a", 2, server_state::ready, true));
     const auto due = state.server_list_.deferred_removals_.at(server_id{"a"}).due_at_;
     CHECK(due < std::chrono::steady_clock::now() + state.settings_.staleness_bound_);
-    state.server_list_.confirmed_at_ = boot_time() - std::chrono::seconds{10};
-    handle_list_recovery(state);
+    return_after_outage(state);
     CHECK(state.server_list_.deferred_removals_.at(server_id{"a"}).due_at_ == due);
 }
 
@@ -271,7 +274,7 @@
     auto& lagging_vm = reader.state_.peers_.peers_[vm_id{"vm-2"}];
     lagging_vm.heard_at_ = std::chrono::steady_clock::now();
     lagging_vm.server_list_end_ = log_offset{3};
-    handle_list_recovery(reader.state_);
+    record_list_read(reader.state_, boot_time());
     apply_change(reader.state_, make_change("a", 3, server_state::ready, true));
     apply_change(reader.state_, make_change("b", 4, server_state::ready, true));
     confirm_list_read(reader.state_, log_offset{5}, boot_time());
@@ -297,8 +300,13 @@
     gateway_fixture gateway;
     auto& state = gateway.state_;
     apply_change(state, make_change("a", 1, server_state::ready));
-    confirm_list(state, log_offset{2}, boot_time() - milliseconds{500});
-    handle_list_recovery(state);
+    state.server_list_.reads_ = {boot_time() - std::chrono::seconds{10}, boot_time() - std::chrono::seconds{5}, false};
+    const milliseconds read_by_other{500};
+    log_update update = make_update(0, 2, {});
+    update.server_list_age_ = read_by_other;
+    update.reads_ = reported_reads{std::chrono::seconds{20}, read_by_other};
+    apply_log_update(state, update, {});
+    record_list_read(state, boot_time());
     apply_change(state, make_change("a", 2, server_state::ready, true));
     CHECK(state.directory_.servers_.empty());
 }
--- a/tests/wire/load_codec_test.cpp
+++ b/tests/wire/load_codec_test.cpp
@@ -108,7 +108,7 @@
     CHECK_FALSE(decode_load_report("", now));
 }
 
-TEST_CASE("unread offsets of a log update are reported")
+TEST_CASE("unread offsets and ages of reads of a log update are reported")
 {
     auto written = report_with(1);
     written.log_update_.unread_ = unread_offsets{log_offset{0}, log_offset{1ULL << 62U}};
@@ -117,10 +117,15 @@
     REQUIRE(report->log_update_.unread_);
     CHECK(report->log_update_.unread_->begin_ == log_offset{0});
     CHECK(report->log_update_.unread_->end_ == log_offset{1ULL << 62U});
+    CHECK_FALSE(report->log_update_.reads_);
     written.log_update_.unread_.reset();
+    written.log_update_.reads_ = reported_reads{std::chrono::weeks{9}, milliseconds{0}};
     report = decode_load_report(encode_load_report(written, byte_count{1400}, now), now);
     REQUIRE(report);
     CHECK_FALSE(report->log_update_.unread_);
+    REQUIRE(report->log_update_.reads_);
+    CHECK(report->log_update_.reads_->since_age_ >= std::chrono::hours{1});
+    CHECK(report->log_update_.reads_->until_age_ == milliseconds{0});
 }
 
 TEST_CASE("leaving servers are reported with the age of their announcement")
