Release memory that no request uses while the leading engine hangs

Callers: while an engine hung on a prompt above one engine's memory, the memory that another engine held for it stayed reserved for 14.9 s (bound 9 s). The prompt was answered by 504 at its limit, and most other long prompts were refused meanwhile.

Cause: a send ends only when its server is gone. One that is there and hangs looks to a probe like one that is slow, so that the reservation was renewed until the caller's time limit.

Change: the engines that hold the memory are asked whether a request uses it. When they have said twice in a row that none does, the send ends like a lost one and the memory is released: 7.6 s after it was reserved when the request must not be repeated, half of that when it may be, which leaves time for another engine. What may have run and must not be repeated is not sent again. An answer that the memory is used ends the questions; no answer proves nothing. Caller gone and stop already released at once: tests added.

--- a/packages/decisions/include/cornelstall/decisions/process/server_loss.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_loss.hpp
@@ -35,6 +35,14 @@
     time_point failing_since_;  ///< when the first of the attempts began that have failed since the last success
 };
 
+/// @brief What the engines that hold memory for one send have said about its use.
+struct memory_checks
+{
+    int unused_in_row_ = 0;
+    bool used_ = false;   ///< a request used the memory; later checks are not needed
+    time_point last_at_;  ///< when the last check began
+};
+
 /// @brief What this VM sees of a send whose answer is not whole.
 struct observed_send
 {
@@ -44,15 +52,18 @@
     bool begun_ = false;            ///< the first event has arrived
     time_point first_event_due_;    ///< a first event after this time is much later than forecast
     milliseconds silence_{0};       ///< time since the last byte of the server arrived
+    milliseconds reserved_for_{0};  ///< time since the memory was reserved
+    milliseconds max_unused_{0};    ///< memory that is unused for so long is released
 };
 
 /// @brief What a VM does next about a send.
 enum class send_step
 {
-    wait,   ///< decide again after `delay_`, or earlier when the server list changes
-    probe,  ///< try to connect to the server
-    end,    ///< the server is gone; the send ends like one whose connection is lost
-    stop    ///< nothing to do until the server list changes
+    wait,          ///< decide again after `delay_`, or earlier when the server list changes
+    probe,         ///< try to connect to the server
+    check_memory,  ///< ask the engines that hold memory for the send whether it is used
+    end,           ///< the server is gone or idle; the send ends like one whose connection is lost
+    stop           ///< nothing to do until the server list changes
 };
 
 /// @brief A step and its details.
@@ -84,6 +95,17 @@
 /// @param silence time since the last byte of the server arrived
 void discard_outdated(attempt_history& history, milliseconds silence, time_point now);
 
+/// @brief Records what the engines said in a check that began at @a began_at.
+/// @param used nothing when none of them gave a usable answer
+void record_memory_check(memory_checks& checks, std::optional<bool> used, time_point began_at);
+
+/// @brief Decides whether the memory that other engines hold for a send is held in vain, or how to find out: a server
+/// that accepts connections may hang, and never begin to use it.
+[[nodiscard]] send_decision decide_on_memory(const observed_send& send, const memory_checks& checks, time_point now);
+
+/// @brief The one of two decisions that is to be carried out first.
+[[nodiscard]] send_decision more_urgent(const send_decision& first, const send_decision& second);
+
 /// @brief Decides whether the server of a send is gone, or how to find out. Silence alone never ends a send.
 [[nodiscard]] send_decision decide_on_send(const observed_send& send, const attempt_history& history, time_point now);
 
--- a/packages/decisions/src/process/server_loss.cpp
+++ b/packages/decisions/src/process/server_loss.cpp
@@ -1,7 +1,9 @@
 #include "cornelstall/decisions/process/server_loss.hpp"
 
 #include <algorithm>
+#include <array>
 #include <ranges>
+#include <utility>
 
 namespace cornelstall
 {
@@ -34,6 +36,13 @@
 constexpr double forecast_multiple = 1.5;
 constexpr milliseconds forecast_allowance{500};
 
+/// Checks of unused memory within the time after which it is released. The first is made after half of it, so that an
+/// engine that is at work is asked once at most.
+constexpr int memory_check_intervals = 4;
+/// Answers in a row that the memory is unused after which it is released. More than one, as the server may have been
+/// about to begin when the first was given.
+constexpr int min_unused_answers = 2;
+
 /// True when @a other is a lifetime that began after that of @a server. Start times of 0 are unknown.
 bool began_later(const listed_server& other, const listed_server& server)
 {
@@ -115,6 +124,40 @@
     }
 }
 
+void record_memory_check(memory_checks& checks, std::optional<bool> used, time_point began_at)
+{
+    checks.last_at_ = began_at;
+    checks.used_ = checks.used_ || used.value_or(false);
+    checks.unused_in_row_ = used.value_or(true) ? 0 : checks.unused_in_row_ + 1;
+}
+
+send_decision decide_on_memory(const observed_send& send, const memory_checks& checks, time_point now)
+{
+    if (!send.reserves_memory_ || send.begun_ || checks.used_)
+    {
+        return {};
+    }
+    if (checks.unused_in_row_ >= min_unused_answers && send.reserved_for_ >= send.max_unused_)
+    {
+        return {send_step::end, {}, "memory_unused"};
+    }
+    const auto reserved_at = now - send.reserved_for_;
+    const auto interval = send.max_unused_ / memory_check_intervals;
+    const auto due_at = std::max(reserved_at + send.max_unused_ / 2, checks.last_at_ + interval);
+    return now < due_at ? send_decision{send_step::wait, time_until(due_at, now), ""}
+                        : send_decision{send_step::check_memory, {}, ""};
+}
+
+send_decision more_urgent(const send_decision& first, const send_decision& second)
+{
+    const auto rank = [](const send_decision& decision) {
+        constexpr std::array order{send_step::end, send_step::probe, send_step::check_memory, send_step::wait,
+                                   send_step::stop};
+        return std::pair(std::ranges::find(order, decision.step_) - order.begin(), decision.delay_);
+    };
+    return rank(second) < rank(first) ? second : first;
+}
+
 send_decision decide_on_send(const observed_send& send, const attempt_history& history, time_point now)
 {
     if (send.listing_ == lifetime_listing::replaced)
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_settings.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_settings.hpp
@@ -24,6 +24,8 @@
     std::optional<milliseconds> max_configuration_age_;
     /// A reservation of engine memory ends this long after it was last made or renewed.
     milliseconds memory_reservation_timeout_{3400};
+    /// Reserved engine memory that its request has not begun to use is released after this time at the latest.
+    milliseconds max_unused_memory_{7600};
     byte_count answer_buffer_limit_{16ULL * 1024 * 1024};  ///< memory for buffered answers of all requests
     byte_count body_memory_limit_{64ULL * 1024 * 1024};    ///< memory for the bodies of all requests
     std::size_t max_caller_connections_ = 1024;            ///< connections of callers that are open at once
--- a/packages/gateway/include/cornelstall/gateway/request/memory_lease.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/memory_lease.hpp
@@ -36,6 +36,9 @@
 /// @return `done` when the memory is reserved
 [[nodiscard]] task<memory_order_result> begin_lease(std::shared_ptr<memory_lease> lease);
 
+/// @brief Asks the engine whether a request uses the reserved memory.
+[[nodiscard]] task<memory_use> query_memory_use(std::shared_ptr<const memory_lease> lease);
+
 /// @brief True while the engine is known to hold the memory. A process that was paused may find that it has expired.
 [[nodiscard]] bool is_held(const memory_lease& lease);
 
--- a/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
+++ b/packages/gateway/include/cornelstall/gateway/request/protocol.hpp
@@ -56,6 +56,14 @@
     unknown  ///< the server may have carried out the order or may still do so
 };
 
+/// @brief What an engine says about a memory reservation.
+enum class memory_use
+{
+    unknown,  ///< no usable answer, or the engine does not know the reservation
+    unused,
+    used  ///< by a request
+};
+
 /// @brief What the gateway adds to a request that it forwards to a backend server.
 struct forward_details
 {
@@ -104,6 +112,11 @@
         write_memory_order_;
     /// Interprets the HTTP status of the answer to a memory order; 0 when there was no answer.
     std::function<memory_order_result(unsigned status)> read_order_result_;
+    /// The request by which an engine is asked about its memory reservations.
+    std::function<boost::beast::http::request<boost::beast::http::string_body>()> write_memory_query_;
+    /// Interprets the answer to it; the HTTP status is 0 when there was no answer.
+    std::function<memory_use(unsigned status, const std::string& body, const std::string& reservation)>
+        read_memory_use_;
 };
 
 }  // namespace cornelstall
--- a/packages/gateway/src/request/memory_lease.cpp
+++ b/packages/gateway/src/request/memory_lease.cpp
@@ -151,6 +151,14 @@
     co_return result;
 }
 
+task<memory_use> query_memory_use(std::shared_ptr<const memory_lease> lease)
+{
+    const auto& protocol = lease->state_.protocol_;
+    const http_client client{lease->state_.executor_, lease->server_.address_.get()};
+    const auto answer = co_await call(client, protocol.write_memory_query_(), order_timeout);
+    co_return protocol.read_memory_use_(answer.status_, answer.body_, lease->reservation_);
+}
+
 bool is_held(const memory_lease& lease)
 {
     return boot_time() < lease.held_until_;
--- a/packages/gateway/src/request/send_plan.cpp
+++ b/packages/gateway/src/request/send_plan.cpp
@@ -35,6 +35,12 @@
     notify_capacity_changed(state_.wait_queues_);
 }
 
+milliseconds max_unused_memory(const exchange& current)
+{
+    const auto limit = current.state_.settings_.max_unused_memory_;
+    return is_retry_safe(current) ? limit / 2 : limit;
+}
+
 void hold_engines(exchange& current, engine_hold& hold, const send_plan& plan)
 {
     std::vector<server_id> servers;
--- a/packages/gateway/src/request/send_plan.hpp
+++ b/packages/gateway/src/request/send_plan.hpp
@@ -65,6 +65,10 @@
     std::vector<std::shared_ptr<memory_lease>> leases_;
 };
 
+/// @brief How long memory that is reserved for the request may be unused. Shorter when the request may be sent to other
+/// engines afterwards, so that there is time left for that.
+[[nodiscard]] milliseconds max_unused_memory(const exchange& current);
+
 /// @brief What is known about the server of a send, to find out whether it is gone.
 struct send_watch
 {
@@ -72,17 +76,24 @@
         : request_(current.parsed_request_.id_),
           server_(plan.server_),
           reserves_memory_(!current.send_.leases_.empty()),
+          leases_(current.send_.leases_),
+          reserved_at_(boot_time()),
+          max_unused_(max_unused_memory(current)),
           first_event_due_(probe_due_time(std::chrono::steady_clock::now(), plan.forecast_.first_token_)),
           timer_(current.state_.executor_)
     {}
 
     request_id request_;
-    listed_server server_;   ///< as listed when it was chosen
-    bool reserves_memory_;   ///< other engines hold memory for the send
-    bool begun_ = false;     ///< an event of the send has been relayed
-    bool draining_ = false;  ///< the server was listed as draining since
+    listed_server server_;  ///< as listed when it was chosen
+    bool reserves_memory_;  ///< other engines hold memory for the send
+    std::vector<std::shared_ptr<memory_lease>> leases_;
+    std::chrono::nanoseconds reserved_at_;  ///< boot time
+    milliseconds max_unused_;               ///< the memory is released when it is unused for so long
+    bool begun_ = false;                    ///< an event of the send has been relayed
+    bool draining_ = false;                 ///< the server was listed as draining since
     time_point first_event_due_;
     attempt_history attempts_;
+    memory_checks memory_checks_;
     bool active_ = false;                ///< a task watches the send
     const char* loss_reason_ = nullptr;  ///< why the server is known to be gone; null while it is not
     boost::asio::steady_timer timer_;    ///< wakes the task
--- a/packages/gateway/src/request/send_watch.cpp
+++ b/packages/gateway/src/request/send_watch.cpp
@@ -15,6 +15,7 @@
 
 constexpr event_kind server_gone{1036, "server_gone"};
 constexpr event_kind server_probed{1037, "server_probed"};
+constexpr event_kind memory_checked{1038, "memory_checked"};
 
 const char* name_of(connection_attempt attempt)
 {
@@ -42,8 +43,10 @@
     seen.begun_ = watch.begun_;
     seen.first_event_due_ = watch.first_event_due_;
     seen.silence_ = time_since_data(*send.reader_->connection_);
+    seen.reserved_for_ = std::chrono::duration_cast<milliseconds>(boot_time() - watch.reserved_at_);
+    seen.max_unused_ = watch.max_unused_;
     discard_outdated(watch.attempts_, seen.silence_, now);
-    return decide_on_send(seen, watch.attempts_, now);
+    return more_urgent(decide_on_send(seen, watch.attempts_, now), decide_on_memory(seen, watch.memory_checks_, now));
 }
 
 /// Ends a send like one whose connection is lost, and releases what it holds elsewhere.
@@ -72,6 +75,17 @@
                {"list_current", is_list_current ? "1" : "0"}});
 }
 
+void record_check(gateway_state& state, send_watch& watch, std::optional<bool> used, time_point began_at)
+{
+    record_memory_check(watch.memory_checks_, used, began_at);
+    const char* const result = used ? (*used ? "used" : "unused") : "unknown";
+    state.metrics_.count("gateway_memory_checks_total", {{"result", result}});
+    log_event(severity::info, memory_checked, result,
+              {{"request", watch.request_.get()},
+               {"server", watch.server_.id_.get()},
+               {"engines", std::to_string(watch.leases_.size())}});
+}
+
 task<> wait_for_change(std::shared_ptr<send_watch> watch, milliseconds delay)
 {
     boost::system::error_code cancelled;
@@ -87,12 +101,28 @@
     record_probe(state, *watch, result, began_at);
 }
 
+/// Asks the engines that hold memory for the send, one after the other, until one says that it is used.
+task<> check_memory(gateway_state& state, std::shared_ptr<send_watch> watch)
+{
+    const auto began_at = std::chrono::steady_clock::now();
+    std::optional<bool> used;
+    for (std::size_t index = 0; index < watch->leases_.size() && !used.value_or(false); ++index)
+    {
+        const auto answer = co_await query_memory_use(watch->leases_[index]);
+        if (answer != memory_use::unknown)
+        {
+            used = answer == memory_use::used;
+        }
+    }
+    record_check(state, *watch, used, began_at);
+}
+
 /// Decides on the send again and again until it has ended or nothing is left to find out.
 /// @param watched not kept alive: it refers to the request, which may end meanwhile
 task<> watch_until_ended(gateway_state& state, std::weak_ptr<send_resources> watched, std::shared_ptr<send_watch> watch)
 {
     auto step = send_step::wait;
-    while (step == send_step::wait || step == send_step::probe)
+    while (step != send_step::end && step != send_step::stop)
     {
         auto send = watched.lock();
         const auto decision = send ? decide(state, *send) : send_decision{};
@@ -110,6 +140,10 @@
         {
             co_await probe_server(state, watch);
         }
+        else if (step == send_step::check_memory)
+        {
+            co_await check_memory(state, watch);
+        }
     }
     watch->active_ = false;
 }
--- a/tests/decisions/server_loss_test.cpp
+++ b/tests/decisions/server_loss_test.cpp
@@ -124,6 +124,43 @@
     CHECK(probe_due_time(start, milliseconds{1000}) > start + milliseconds{1000});
 }
 
+// Guards against ending a send on one answer, on none, or while the memory is used.
+TEST_CASE("unused memory ends a send before two engines' answers in a row say so, or although it is used")
+{
+    auto send = silent_send();
+    send.reserves_memory_ = true;
+    send.max_unused_ = milliseconds{4000};
+    memory_checks checks;
+    send.reserved_for_ = milliseconds{1500};
+    CHECK(decide_on_memory(send, checks, start).step_ == send_step::wait);
+    CHECK(decide_on_memory(send, checks, start).delay_ == milliseconds{500});
+    send.reserved_for_ = milliseconds{9000};
+    CHECK(decide_on_memory(send, checks, start).step_ == send_step::check_memory);
+    record_memory_check(checks, false, start);
+    CHECK(decide_on_memory(send, checks, start).step_ == send_step::wait);
+    record_memory_check(checks, std::nullopt, start);
+    CHECK(checks.unused_in_row_ == 0);
+    record_memory_check(checks, false, start);
+    record_memory_check(checks, false, start);
+    CHECK(decide_on_memory(send, checks, start).step_ == send_step::end);
+    send.reserved_for_ = milliseconds{3900};
+    CHECK(decide_on_memory(send, checks, start).step_ == send_step::wait);
+    record_memory_check(checks, true, start);
+    send.reserved_for_ = milliseconds{9000};
+    CHECK(decide_on_memory(send, checks, start).step_ == send_step::stop);
+}
+
+TEST_CASE("of two decisions on a send the one that ends it comes first, then the earlier one")
+{
+    const send_decision end{send_step::end, {}, "gone"};
+    const send_decision soon{send_step::wait, milliseconds{10}, ""};
+    const send_decision late{send_step::wait, milliseconds{20}, ""};
+    CHECK(more_urgent(soon, end).step_ == send_step::end);
+    CHECK(more_urgent(late, soon).delay_ == milliseconds{10});
+    CHECK(more_urgent({}, late).step_ == send_step::wait);
+    CHECK(more_urgent({send_step::probe, {}, ""}, soon).step_ == send_step::probe);
+}
+
 TEST_CASE("a removed server that makes progress is probed")
 {
     auto send = silent_send(lifetime_listing::unlisted);
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -93,6 +93,14 @@
                : status == 409 ? memory_order_result::refused
                                : memory_order_result::unknown;
     };
+    protocol.write_memory_query_ = [] {
+        return http::request<http::string_body>(http::verb::get, "/memory", 11);
+    };
+    protocol.read_memory_use_ = [](unsigned, const std::string& body, const std::string& reservation) {
+        return body == "unused " + reservation ? memory_use::unused
+               : body == "used " + reservation ? memory_use::used
+                                               : memory_use::unknown;
+    };
     return protocol;
 }
 
--- a/tests/gateway/gone_server_test.cpp
+++ b/tests/gateway/gone_server_test.cpp
@@ -113,18 +113,50 @@
 /// Three engines, a joint prefill on two of them, and the caller that waits for it.
 struct joint_prefill_fixture
 {
-    explicit joint_prefill_fixture(const std::function<scripted_response()>& answer)
+    /// @param memory_use what the engines say about the use of the memory that they were last asked to reserve; empty
+    /// when they say nothing
+    explicit joint_prefill_fixture(const std::function<scripted_response()>& answer, const std::string& memory_use = {})
     {
+        gateway_.state_.settings_.max_unused_memory_ = milliseconds{2400};
         gateway_.activate_route(long_route(), small_engine());
         for (int index = 0; index < 3; ++index)
         {
-            gateway_.add_server([answer](const auto& message) {
-                return message.target() == "/r/x" ? answer() : plain_response("200 OK", "");
+            auto reserved = std::make_shared<std::string>();
+            gateway_.add_server([answer, memory_use, reserved](const auto& message) {
+                if (is_order(message, "reserve"))
+                {
+                    *reserved = std::string(message["X-Reservation"]);
+                }
+                const bool is_query = message.method() == boost::beast::http::verb::get;
+                return message.target() == "/r/x"
+                           ? answer()
+                           : plain_response("200 OK", is_query ? memory_use + " " + *reserved : "");
             });
         }
         set_start_times(gateway_);
     }
 
+    /// Requests of the caller that the engines have received.
+    int prompt_count()
+    {
+        return count_requests([](const auto& message) { return message.target() == "/r/x"; });
+    }
+
+    /// Questions about the use of memory that the engines have received.
+    int query_count()
+    {
+        return count_requests([](const auto& message) { return message.method() == boost::beast::http::verb::get; });
+    }
+
+    int count_requests(const std::function<bool(const fake_server::request&)>& is_counted)
+    {
+        int found = 0;
+        std::ranges::for_each(gateway_.servers_, [&](const auto& server) {
+            found += static_cast<int>(std::ranges::count_if(server->received_requests_, is_counted));
+        });
+        return found;
+    }
+
     /// Sends the request, and waits until the leading engine has it.
     void start()
     {
@@ -270,6 +302,61 @@
     CHECK(joint.ends_without_leading());
 }
 
+// Guards against a hanging engine for which the memory of others is renewed until the caller's time limit.
+TEST_CASE("the memory of a joint prefill stays reserved although its leading engine hangs and never uses it")
+{
+    joint_prefill_fixture joint(silent_response, "unused");
+    joint.start();
+    CHECK(joint.ends_without_leading());
+    CHECK(joint.prompt_count() == 1);
+}
+
+TEST_CASE("a prompt is not sent to other engines although its leading engine hangs and it may be repeated")
+{
+    int sends = 0;
+    joint_prefill_fixture joint(
+        [&sends] { return ++sends == 1 ? silent_response() : scripted_response{stream_events(1, 2) + last_chunk}; },
+        "unused");
+    auto matched = long_route(request_kind::streaming);
+    matched.resumable_ = true;
+    joint.gateway_.activate_route(matched, small_engine());
+    joint.start();
+    REQUIRE(joint.run_until([&joint] { return joint.caller_->has_answer(); }));
+    CHECK(joint.caller_->received_.ends_with(stream_events(1, 2, false) + last_chunk));
+    CHECK(joint.prompt_count() == 2);
+    CHECK(joint.run_until([&joint] { return joint.gateway_.state_.open_leases_ == 0; }));
+    CHECK(order_count(joint.gateway_, "release") == 2);
+}
+
+TEST_CASE("a send is ended because its leading engine is silent although it uses the memory of others")
+{
+    joint_prefill_fixture joint(late_response, "used");
+    joint.start();
+    REQUIRE(joint.run_until([&joint] { return joint.caller_->has_answer(); }));
+    CHECK(joint.caller_->received_.starts_with("HTTP/1.1 200"));
+    CHECK(joint.query_count() == 1);
+}
+
+TEST_CASE("memory stays reserved for a hanging engine after the caller has gone")
+{
+    joint_prefill_fixture joint(silent_response, "unused");
+    joint.start();
+    joint.caller_->socket_.close();
+    CHECK(joint.run_until([&joint] { return joint.gateway_.state_.open_leases_ == 0; }));
+    CHECK(joint.query_count() == 0);
+    CHECK(order_count(joint.gateway_, "release") == 1);
+}
+
+TEST_CASE("memory stays reserved for a hanging engine after the requests were ended for a stop")
+{
+    joint_prefill_fixture joint(silent_response, "unused");
+    joint.start();
+    end_open_requests(joint.gateway_.state_);
+    CHECK(joint.run_until([&joint] { return joint.gateway_.state_.open_leases_ == 0 && joint.caller_->has_answer(); }));
+    CHECK(joint.query_count() == 0);
+    CHECK(order_count(joint.gateway_, "release") == 1);
+}
+
 TEST_CASE("a send is ended because its leading engine has left the list although it goes on serving")
 {
     joint_prefill_fixture joint(late_response);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -189,6 +189,20 @@
     CHECK(protocol.write_memory_order_(order).body() == R"({"id":"vm-1-7-1","operation":"release"})");
     CHECK(protocol.read_order_result_(200) == memory_order_result::done);
     CHECK(protocol.read_order_result_(409) == memory_order_result::refused);
+    CHECK(protocol.write_memory_query_().target() == "/report");
+    const auto use_in = [&protocol](const std::string& report, unsigned status = 200) {
+        return protocol.read_memory_use_(status, report, "t");
+    };
+    CHECK(use_in(R"({"tickets":[{"id":"u","state":"used"},{"id":"t","state":"held"}]})") == memory_use::unused);
+    CHECK(use_in(R"({"tickets":[{"id":"t","state":"waiting"}]})") == memory_use::unused);
+    CHECK(use_in(R"({"tickets":[{"id":"t","state":"used"}]})") == memory_use::used);
+    CHECK(use_in(R"({"tickets":[{"id":"u","state":"held"}]})") == memory_use::unknown);
+    CHECK(use_in(R"({"tickets":[{"id":"t","state":"held"}]})", 503) == memory_use::unknown);
+    for (const char* const odd :
+         {"", "[", "[]", R"({"tickets":{}})", R"({"tickets":[1,{"id":1},{"id":"t","state":[]}]})"})
+    {
+        CHECK(use_in(odd) == memory_use::unknown);
+    }
     CHECK(protocol.read_order_result_(421) == memory_order_result::refused);
     // The server may still execute the order when it did not respond, or while the order waits for memory.
     CHECK(protocol.read_order_result_(0) == memory_order_result::unknown);
