--- a/packages/gateway/src/request/send_plan.cpp
+++ b/packages/gateway/src/request/send_plan.cpp
@@ -38,7 +38,8 @@
 milliseconds max_unused_memory(const exchange& current)
 {
     const auto limit = current.state_.settings_.max_unused_memory_;
-    return is_retry_safe(current) ? limit / 2 : limit;
+    const bool has_attempt_left = current.possible_runs_ + 1 < current.route_->max_attempts_;
+    return is_retry_safe(current) && has_attempt_left ? limit / 2 : limit;
 }
 
 void hold_engines(exchange& current, engine_hold& hold, const send_plan& plan)
