Ignore overtaken reads of the server list, and difference lists only after exact ones

A read that is answered late applied records from before the known end; one of a server whose removal lies among unread offsets listed it again.

Change: records before the known end and full reads that were overtaken are ignored. Until a VM has read on to the end of the log after a full read, it neither sends a difference nor applies one of another VM.

--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -51,20 +51,26 @@
     log_offset changes_begin_;                      ///< `changes_` is complete from here to `next_`
     std::deque<recent_change> changes_;             ///< recent changes, ordered by offset, for VMs that lack them
     std::optional<unread_offsets> unread_;          ///< offsets that `changes_` spans without their records
-    known_reads reads_;                             ///< by this VM and by those whose reports it has received
+    /// The records after the last full read have been read to their end. Before, servers may be missing or known that
+    /// were removed or added at `next_` or later, while the pages of the full read were sent.
+    bool is_exact_ = true;
+    known_reads reads_;  ///< by this VM and by those whose reports it has received
     std::map<server_id, deferred_removal> deferred_removals_;
     update_counts updates_;  ///< since the list was last confirmed
 };
 
-/// @brief Applies a change that was read from the log or received from another VM.
+/// @brief Applies a change that was read from the log or received from another VM, unless the list is known beyond it:
+/// an answer of the log may arrive after reports that reach further.
 /// @param source the VM whose report contained the change, or `log_read`; logged
 void apply_change(gateway_state& state, const server_list_change& change, const std::string& source = log_read);
 
 /// @brief Applies a read of the full list and removes the known servers that are not in it.
 /// @param listed all ids in the list, including those whose entries cannot be decoded
 /// @param next one past the last offset covered by the read
+/// @param known_before end of the known list when the read was requested. A read that ends after it, but before what
+/// has become known since, is ignored.
 void apply_full_list(gateway_state& state, std::vector<server_list_change> entries, const std::set<server_id>& listed,
-                     log_offset next);
+                     log_offset next, log_offset known_before = {});
 
 /// @brief Records that the log has just answered a read of this VM that was sent at @a requested_at, before what was
 /// read is applied. If no VM had read the list for some time, removals are deferred for a grace period: servers could
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -80,7 +80,7 @@
     return change;
 }
 
-void apply_full_read(follower& self, const record_page& full_read)
+void apply_full_read(follower& self, const record_page& full_read, log_offset known_before)
 {
     std::vector<server_list_change> entries;
     std::set<server_id> listed;
@@ -92,7 +92,7 @@
             entries.push_back(std::move(*change));
         }
     });
-    apply_full_list(self.state_, std::move(entries), listed, full_read.next_);
+    apply_full_list(self.state_, std::move(entries), listed, full_read.next_, known_before);
 }
 
 void apply_record(follower& self, const keyed_record& record)
@@ -161,6 +161,7 @@
     }
     std::ranges::for_each(page.records_, [&self](const keyed_record& record) { apply_record(self, record); });
     const bool reaches_end = page.next_ >= page.end_;
+    list.is_exact_ = list.is_exact_ || reaches_end;
     confirm_list_read(self.state_, page.next_, reaches_end ? requested_at : std::chrono::nanoseconds{0});
     list.updates_ = {};
     apply_deferred_removals(self.state_);
@@ -177,8 +178,9 @@
     while (true)
     {
         const auto requested_at = boot_time();
+        const auto known_before = list.next_;
         const auto full_read = co_await read_full_list(self);
-        apply_full_read(self, full_read);
+        apply_full_read(self, full_read, known_before);
         confirm_list_read(state, full_read.next_, requested_at);
         bool can_read_changes = true;
         while (can_read_changes)
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -54,8 +54,7 @@
     }
 }
 
-/// Keeps @a change for the VMs that lack it. What lies before the known end is there already: a read may be answered
-/// after reports of other VMs that reach further.
+/// Keeps @a change for the VMs that lack it. What lies before the known end is there already.
 void keep_change(server_list& list, const server_list_change& change, time_point now)
 {
     if (change.at_ >= list.next_)
@@ -64,16 +63,22 @@
     }
 }
 
+/// Forgets the changes before @a begin. VMs that lack them read the log themselves.
+void start_changes_at(server_list& list, log_offset begin)
+{
+    list.changes_begin_ = std::max(list.changes_begin_, begin);
+    list.unread_.reset();
+    std::erase_if(list.changes_,
+                  [&list](const recent_change& recent) { return recent.change_.at_ < list.changes_begin_; });
+}
+
 /// Records that the changes from @a unread on are the difference of two lists. Of several such differences only the
 /// latest is sent to other VMs.
 void add_unread(server_list& list, const unread_offsets& unread)
 {
     if (list.unread_)
     {
-        list.changes_begin_ = std::max(list.changes_begin_, list.unread_->end_);
-        std::erase_if(list.changes_, [begin = list.changes_begin_](const recent_change& recent) {
-            return recent.change_.at_ < begin;
-        });
+        start_changes_at(list, list.unread_->end_);
     }
     list.unread_ = unread;
 }
@@ -190,6 +195,10 @@
 
 void apply_change(gateway_state& state, const server_list_change& change, const std::string& source)
 {
+    if (change.at_ < state.server_list_.next_)
+    {
+        return;
+    }
     keep_change(state.server_list_, change, std::chrono::steady_clock::now());
     apply_to_directory(state, change, source);
 }
@@ -220,9 +229,14 @@
 }
 
 void apply_full_list(gateway_state& state, std::vector<server_list_change> entries, const std::set<server_id>& listed,
-                     log_offset next)
+                     log_offset next, log_offset known_before)
 {
     auto& list = state.server_list_;
+    const bool is_overtaken = list.listed_ && known_before <= next && next < list.next_;
+    if (is_overtaken)
+    {
+        return;
+    }
     if (list.listed_ && list.next_ < next)
     {
         log_event(severity::info, list_read_again,
@@ -240,8 +254,7 @@
         // which the other VMs get in its turn.
         if (entry.at_ < next)
         {
-            apply_change(state, entry);
-            return;
+            keep_change(state.server_list_, entry, std::chrono::steady_clock::now());
         }
         apply_to_directory(state, entry, log_read);
     });
@@ -256,15 +269,16 @@
         change.server_.id_ = id;
         change.removed_ = true;
         change.at_ = last_offset;
-        apply_change(state, change);
+        keep_change(list, change, std::chrono::steady_clock::now());
+        apply_to_directory(state, change, log_read);
     });
-    if (!list.listed_)
+    if (!list.listed_ || !list.is_exact_)
     {
-        list.changes_.clear();
-        list.unread_.reset();
-        list.changes_begin_ = next;
-        list.listed_ = true;
+        // The difference to what was known before is not complete.
+        start_changes_at(list, next);
     }
+    list.listed_ = true;
+    list.is_exact_ = false;
 }
 
 void confirm_list(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at)
@@ -340,7 +354,9 @@
     }
     auto& list = state.server_list_;
     add_reported_reads(list.reads_, update, now);
-    if (!list.listed_ || !can_follow(update, list.next_))
+    // A server that is known here already from beyond the known end may have been removed at an unread offset.
+    const bool lacks_records = update.unread_ && list.next_ <= update.unread_->begin_ && !list.is_exact_;
+    if (!list.listed_ || !can_follow(update, list.next_) || lacks_records)
     {
         ++list.updates_.with_gap_;
         return;
--- a/tests/gateway/list_histories_test.cpp
+++ b/tests/gateway/list_histories_test.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::uint32_t histories = 400;
+constexpr std::uint32_t histories = 2500;
 constexpr int steps_per_history = 160;
 constexpr std::size_t vm_count = 4;
 constexpr int server_count = 7;
@@ -53,6 +53,7 @@
     bool full_ = false;
     std::vector<server_list_change> records_;  ///< of a full read, the first page
     log_offset next_;
+    log_offset known_before_;  ///< end of the known list when it was requested
 };
 
 struct model_vm
@@ -178,7 +179,7 @@
         }
         auto& list = vm.gateway_->state_.server_list_;
         vm.needs_full_read_ = vm.needs_full_read_ || list.next_.get() < log_.first_;
-        pending_read request{vm.needs_full_read_, {}, log_.end()};
+        pending_read request{vm.needs_full_read_, {}, log_.end(), list.next_};
         if (request.full_)
         {
             request.records_ = newest_records(0, server_count / 2);
@@ -213,13 +214,14 @@
             std::set<server_id> listed;
             std::ranges::transform(read.records_, std::inserter(listed, listed.end()),
                                    [](const server_list_change& record) { return record.server_.id_; });
-            apply_full_list(state, read.records_, listed, read.next_);
+            apply_full_list(state, read.records_, listed, read.next_, read.known_before_);
             vm.needs_full_read_ = false;
         }
         else
         {
             std::ranges::for_each(read.records_,
                                   [&state](const server_list_change& record) { apply_change(state, record); });
+            state.server_list_.is_exact_ = true;
         }
         confirm_list_read(state, read.next_, boot_time());
     }
