Pass on that other VMs have read the server list

Cause: a report said only what its sender had read itself. VMs that follow the reports of others knew that the log had been read all the while, and did not say so.

The model with the former rule still fails.

--- a/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
@@ -25,7 +25,7 @@
     log_offset end_;    ///< one past the last offset
 };
 
-/// @brief A span of reads of the log without an outage, as `known_reads`, of which the last was made by the sender.
+/// @brief A span of reads of the log without an outage, as `known_reads`.
 struct reported_reads
 {
     milliseconds since_age_{0};
--- a/packages/decisions/include/cornelstall/decisions/process/known_reads.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/known_reads.hpp
@@ -25,6 +25,10 @@
 /// than an outage apart become one, whichever of them is learned first.
 void add_reads(known_reads& known, const known_reads& added);
 
+/// @brief The last read of the span @a known as this VM reports it to others, which may pass it on in their turn.
+/// @param own_read the last read of this VM itself, or one before the span
+[[nodiscard]] std::chrono::nanoseconds reported_until(const known_reads& known, std::chrono::nanoseconds own_read);
+
 /// @brief The time left for which a removed server may only have failed to renew its entry in an outage; 0 when none.
 [[nodiscard]] milliseconds removal_grace(const known_reads& known, std::chrono::nanoseconds now);
 
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -311,9 +311,10 @@
     update.log_reachable_ = state.server_list_reachable_;
     update.server_list_end_ = list.listed_ ? list.next_ : log_offset{0};
     update.removal_grace_ = removal_grace(list.reads_, boot_time());
-    if (list.listed_ && list.read_at_ >= list.reads_.since_)
+    if (list.listed_)
     {
-        update.reads_ = reported_reads{age_of(list.reads_.since_), age_of(list.own_confirmed_at_)};
+        const auto until = reported_until(list.reads_, list.own_confirmed_at_);
+        update.reads_ = reported_reads{age_of(list.reads_.since_), age_of(until)};
     }
     if (state.table_ && age_of(state.table_read_at_) < max_own_read_age)
     {
--- a/tests/decisions/known_reads_test.cpp
+++ b/tests/decisions/known_reads_test.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds report_interval{300};
 constexpr milliseconds bound{2000};
 constexpr std::size_t vm_count = 5;
-constexpr std::uint32_t histories = 300;
+constexpr std::uint32_t histories = 2000;
 /// A VM that nothing has disturbed for this long has heard from another VM that has read the log since.
 constexpr milliseconds settled_after{2200};
 /// The longest time for which two VMs are disturbed one after the other.
@@ -204,9 +204,7 @@
 
     void report(const model_vm& sender)
     {
-        const bool has_read =
-            sender.own_read_at_ >= milliseconds{0} && clock_at(sender.own_read_at_) >= sender.reads_.since_;
-        if (!has_read || sender.cut_from_vms_.contains(now_))
+        if (sender.reads_.until_ == nanoseconds{0} || sender.cut_from_vms_.contains(now_))
         {
             return;
         }
@@ -219,7 +217,9 @@
             {
                 return;
             }
-            add_reads(vm.reads_, {sender.reads_.since_, clock_at(sender.own_read_at_), after_outage});
+            const milliseconds transit{between(0, 60)};
+            const auto until = reported_until(sender.reads_, clock_at(sender.own_read_at_));
+            add_reads(vm.reads_, {sender.reads_.since_ + transit, until + transit, after_outage});
             vm.grace_end_ = std::max(vm.grace_end_, sender.grace_end_);
         });
     }
