--- a/review/tools-3/drill.cpp
+++ b/review/tools-3/drill.cpp
@@ -41,8 +41,7 @@
 
     world(const std::string& record_path, std::string folder, bool trouble)
         : record_(record_path), folder_(std::move(folder)), trouble_(trouble)
-    {
-    }
+    {}
 };
 
 /// The operator writes @a value until the store takes it.
@@ -84,8 +83,8 @@
     std::vector<std::string> ips;
     for (std::size_t index = 0; index < zones.size(); ++index)
     {
-        of.machines_.push_back({"edge-" + zones[index] + "-1", zones[index], "127.0.10." + std::to_string(index + 1),
-                                "", "", 0});
+        of.machines_.push_back(
+            {"edge-" + zones[index] + "-1", zones[index], "127.0.10." + std::to_string(index + 1), "", "", 0});
         ips.push_back(of.machines_.back().ip_);
     }
     const auto ports = free_ports(ips, ports_of_machine);
@@ -160,8 +159,8 @@
         return each.key_ == key && each.sent_ms_ >= from_ms && each.sent_ms_ < until_ms;
     };
     const auto total = std::ranges::count_if(sent, in_span);
-    const auto served = std::ranges::count_if(
-        sent, [&](const sent_request& each) { return in_span(each) && each.status_ == 200; });
+    const auto served =
+        std::ranges::count_if(sent, [&](const sent_request& each) { return in_span(each) && each.status_ == 200; });
     return total == 0 ? 0.0 : static_cast<double>(served) / static_cast<double>(total);
 }
 
@@ -176,16 +175,16 @@
     std::ranges::for_each(all_sent(of), [&](const sent_request& each) {
         if (each.sent_ms_ <= end_ms)
         {
-            of.record_.write("request " + each.attempt_ + " sent at " + std::to_string(each.sent_ms_) +
-                             " ms to " + each.machine_ + ", answered " + std::to_string(each.status_));
+            of.record_.write("request " + each.attempt_ + " sent at " + std::to_string(each.sent_ms_) + " ms to " +
+                             each.machine_ + ", answered " + std::to_string(each.status_));
         }
     });
     std::ranges::for_each(of.runs_.all(), [&](const run_record& run) {
         of.record_.write("server " + run.server_ + " ran " + run.attempt_ + ", arrived at " +
                          std::to_string(run.arrived_ms_) + " ms");
     });
-    of.record_.write("share served before: " + std::to_string(before) + "; processes ran to the end: " +
-                     (all_ran ? "yes" : "no"));
+    of.record_.write("share served before: " + std::to_string(before) +
+                     "; processes ran to the end: " + (all_ran ? "yes" : "no"));
     return all_ran && before >= enough;
 }
 
--- a/review/tools-3/fleet.cpp
+++ b/review/tools-3/fleet.cpp
@@ -129,8 +129,7 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     pid_t process = 0;
-    const int failed =
-        posix_spawn(&process, words[0].c_str(), &actions, nullptr, arguments.data(), environment.data());
+    const int failed = posix_spawn(&process, words[0].c_str(), &actions, nullptr, arguments.data(), environment.data());
     posix_spawn_file_actions_destroy(&actions);
     return failed == 0 ? process : 0;
 }
@@ -143,9 +142,9 @@
     file_ << now_ms() << " ms  " << line << std::endl;
 }
 
-platform_store::platform_store(const std::string& ip) : service_(ip, [this](const request& call) { return serve(call); })
-{
-}
+platform_store::platform_store(const std::string& ip)
+    : service_(ip, [this](const request& call) { return serve(call); })
+{}
 
 std::optional<std::uint64_t> platform_store::append(const std::string& topic, const std::string& key,
                                                     const std::string& value)
@@ -250,9 +249,8 @@
 {
     std::unique_lock lock(mutex_);
     const auto era = era_;
-    changed_.wait_for(lock, std::chrono::milliseconds{wait_ms}, [&] {
-        return away_ || era_ != era || topics_[topic].size() != from;
-    });
+    changed_.wait_for(lock, std::chrono::milliseconds{wait_ms},
+                      [&] { return away_ || era_ != era || topics_[topic].size() != from; });
     const auto& records = topics_[topic];
     if (from > records.size())
     {
@@ -300,15 +298,15 @@
     return runs_;
 }
 
-plain_server::plain_server(platform_store& store, run_log& runs, std::string id, std::string zone, std::string ip)
+plain_server::plain_server(platform_store& store, run_log& runs, std::string id, std::string zone,
+                           const std::string& ip)
     : store_(store),
       runs_(runs),
       id_(std::move(id)),
       zone_(std::move(zone)),
       born_ms_(unix_ms()),
-      service_(std::move(ip), [this](const request& call) { return serve(call); })
-{
-}
+      service_(ip, [this](const request& call) { return serve(call); })
+{}
 
 void plain_server::start(int interval_ms)
 {
@@ -316,9 +314,15 @@
         constexpr int retry_ms = 100;
         while (listed_)
         {
-            const json entry{{"service", service_name}, {"address", service_.address()}, {"zone", zone_},
-                             {"version", "v1"},         {"slots", 6},                    {"state", "ready"},
-                             {"cold_remaining_ms", 0},  {"sequence", ++sequence_},       {"born", born_ms_}};
+            const json entry{{"service", service_name},
+                             {"address", service_.address()},
+                             {"zone", zone_},
+                             {"version", "v1"},
+                             {"slots", 6},
+                             {"state", "ready"},
+                             {"cold_remaining_ms", 0},
+                             {"sequence", ++sequence_},
+                             {"born", born_ms_}};
             const bool written = store_.append("keyed.servers", id_, entry.dump()).has_value();
             std::this_thread::sleep_for(std::chrono::milliseconds{written ? interval_ms : retry_ms});
         }
@@ -425,7 +429,7 @@
     return all_ran;
 }
 
-client::client(const machine& to, client_settings settings) : to_(to), settings_(std::move(settings))
+client::client(machine to, client_settings settings) : to_(std::move(to)), settings_(std::move(settings))
 {
     std::thread([this] { send_requests(); }).detach();
 }
--- a/review/tools-3/fleet.hpp
+++ b/review/tools-3/fleet.hpp
@@ -22,9 +22,7 @@
 class recorder
 {
   public:
-    explicit recorder(const std::string& path) : file_(path)
-    {
-    }
+    explicit recorder(const std::string& path) : file_(path) {}
     void write(const std::string& line);
 
   private:
@@ -106,7 +104,7 @@
 class plain_server
 {
   public:
-    plain_server(platform_store& store, run_log& runs, std::string id, std::string zone, std::string ip);
+    plain_server(platform_store& store, run_log& runs, std::string id, std::string zone, const std::string& ip);
     /// Starts the heartbeats, one every @a interval_ms.
     void start(int interval_ms);
     /// The entry is removed, and the server goes on serving.
@@ -187,7 +185,7 @@
 class client
 {
   public:
-    client(const machine& to, client_settings settings);
+    client(machine to, client_settings settings);
     [[nodiscard]] std::vector<sent_request> sent();
 
   private:
