--- a/review/tools-3/fleet.cpp
+++ b/review/tools-3/fleet.cpp
@@ -166,14 +166,14 @@
     copy_ = topics_;
 }
 
-void platform_store::go_away()
+void platform_store::go_away(http_service::absence kind)
 {
     {
         const std::lock_guard lock(mutex_);
         away_ = true;
     }
+    service_.set_away(kind);
     changed_.notify_all();
-    service_.set_away(true);
 }
 
 void platform_store::return_from_copy()
@@ -184,7 +184,7 @@
         ++era_;
         away_ = false;
     }
-    service_.set_away(false);
+    service_.set_away(http_service::absence::none);
 }
 
 void platform_store::come_back()
@@ -193,7 +193,7 @@
         const std::lock_guard lock(mutex_);
         away_ = false;
     }
-    service_.set_away(false);
+    service_.set_away(http_service::absence::none);
 }
 
 std::uint64_t platform_store::end(const std::string& topic)
@@ -338,7 +338,7 @@
 
 void plain_server::stop()
 {
-    service_.set_away(true);
+    service_.set_away(http_service::absence::reset);
 }
 
 response plain_server::serve(const request& call)
--- a/review/tools-3/fleet.hpp
+++ b/review/tools-3/fleet.hpp
@@ -47,8 +47,8 @@
     /// Keeps a copy of all topics.
     void copy();
 
-    /// Makes the store unreachable.
-    void go_away();
+    /// Makes the store unreachable, as callers see it.
+    void go_away(http_service::absence kind);
 
     /// Makes the store reachable again, with the records of the last copy and the next era.
     void return_from_copy();
--- a/review/tools-3/http_service.cpp
+++ b/review/tools-3/http_service.cpp
@@ -60,19 +60,19 @@
     std::thread([this] { accept_connections(); }).detach();
 }
 
-void http_service::set_away(bool away)
+void http_service::set_away(absence kind)
 {
     const std::lock_guard lock(mutex_);
-    away_ = away;
-    std::ranges::for_each(open_, [away](const std::weak_ptr<tcp::socket>& entry) {
+    away_ = kind;
+    silences_ += kind == absence::silent ? 1 : 0;
+    std::ranges::for_each(open_, [kind](const std::weak_ptr<tcp::socket>& entry) {
         const auto socket = entry.lock();
-        if (away && socket)
+        if (kind == absence::reset && socket)
         {
             boost::system::error_code ignored;
             socket->shutdown(tcp::socket::shutdown_both, ignored);
         }
     });
-    open_.clear();
 }
 
 void http_service::accept_connections()
@@ -86,7 +86,7 @@
         {
             continue;
         }
-        if (away_)
+        if (away_ == absence::reset)
         {
             reset(*socket);
             continue;
@@ -100,6 +100,8 @@
 
 void http_service::serve_connection(const std::shared_ptr<tcp::socket>& socket)
 {
+    const int silences = silences_;
+    bool silent = away_ == absence::silent;
     boost::beast::flat_buffer buffer;
     boost::system::error_code failed;
     socket->set_option(tcp::no_delay(true), failed);
@@ -111,8 +113,18 @@
         {
             break;
         }
+        silent = silent || silences_ != silences;
+        if (silent)
+        {
+            continue;
+        }
         auto answer = serve_(call);
-        if (away_)
+        silent = silences_ != silences;
+        if (silent)
+        {
+            continue;
+        }
+        if (away_ == absence::reset)
         {
             break;
         }
--- a/review/tools-3/http_service.hpp
+++ b/review/tools-3/http_service.hpp
@@ -48,8 +48,14 @@
         return address_;
     }
 
-    /// While away, the service resets new connections. All open ones are closed at the begin.
-    void set_away(bool away);
+    /// How callers see that the service is away.
+    enum class absence
+    {
+        none,
+        reset,   ///< all connections are closed, and new ones are reset
+        silent,  ///< nothing is answered, also later, on connections that were open or are opened meanwhile
+    };
+    void set_away(absence kind);
 
   private:
     void accept_connections();
@@ -59,7 +65,8 @@
     asio::io_context context_;
     tcp::acceptor acceptor_;
     std::string address_;
-    std::atomic<bool> away_{false};
+    std::atomic<absence> away_{absence::none};
+    std::atomic<int> silences_{0};
     std::mutex mutex_;
     std::vector<std::weak_ptr<tcp::socket>> open_;
 };
