--- a/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/load_report.hpp
@@ -50,7 +50,7 @@
     std::vector<reported_work> work_;  ///< while a report in several parts arrives, also what may have ended since
     configuration_version version_;
     bool log_reachable_ = false;
-    log_offset server_list_end_;  ///< the VM knows the server list up to, but not including, this offset
+    log_position server_list_end_;  ///< the VM knows the server list up to, but not including, this position
     data_centre_id data_centre_;
     transit_clock transit_;
     std::vector<reported_work> arrived_work_ = {};  ///< work of the report of which further parts are awaited
@@ -98,10 +98,10 @@
 [[nodiscard]] std::size_t log_reader_position(const vm_peers& peers, const vm_id& self, bool reachable,
                                               milliseconds limit, time_point now);
 
-/// @brief The smallest offset from which a VM lacks changes of the server list, or @a own_next when none does. VMs that
-/// have been silent for @a limit or have not read the list yet are not counted.
-[[nodiscard]] log_offset oldest_missing_offset(const vm_peers& peers, log_offset own_next, milliseconds limit,
-                                               time_point now);
+/// @brief The smallest position from which a VM lacks changes of the server list, or @a own_next when none does. VMs
+/// that have been silent for @a limit or have not read the list yet are not counted.
+[[nodiscard]] log_position oldest_missing_position(const vm_peers& peers, log_position own_next, milliseconds limit,
+                                                   time_point now);
 
 /// @brief The highest routing table version that another VM has.
 [[nodiscard]] configuration_version newest_peer_version(const vm_peers& peers);
--- a/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
@@ -13,16 +13,17 @@
 {
     listed_server server_;  ///< only the id is meaningful when the server was removed
     bool removed_ = false;
-    log_offset at_;  ///< log offset of the record
+    log_position at_;  ///< position of the record
 };
 
-/// @brief Offsets whose records a VM has not read, because the log no longer had them when the VM came back to it. Its
-/// changes with these offsets are the difference between the lists before and after, which has no trace of a server
-/// that was added and removed in between. They hold only for a VM that knows the list exactly up to `begin_` or less.
-struct unread_offsets
+/// @brief Positions whose records a VM has not read, because the log no longer had them when the VM came back to it.
+/// Its changes with these positions are the difference between the lists before and after, which has no trace of a
+/// server that was added and removed in between. They hold only for a VM that knows the list exactly up to `begin_` or
+/// less.
+struct unread_span
 {
-    log_offset begin_;  ///< first offset
-    log_offset end_;    ///< one past the last offset
+    log_position begin_;  ///< first position
+    log_position end_;    ///< one past the last position
 };
 
 /// @brief A span of reads of the log without an outage, as `known_reads`.
@@ -41,11 +42,11 @@
     /// says nothing about evacuations.
     std::optional<evacuation_snapshot> evacuations_;
     std::optional<milliseconds> server_list_age_;  ///< time since its server list was last known to be up to date
-    log_offset changes_begin_;                     ///< first offset covered by `changes_`
-    log_offset changes_end_;                       ///< one past the last offset covered by `changes_`
+    log_position changes_begin_;                   ///< first position covered by `changes_`
+    log_position changes_end_;                     ///< one past the last position covered by `changes_`
     std::vector<server_list_change> changes_;      ///< ordered by offset
-    std::optional<unread_offsets> unread_;         ///< within `changes_begin_` to `changes_end_`
-    log_offset server_list_end_;  ///< one past the last offset known to the VM, from the log or from other VMs
+    std::optional<unread_span> unread_;            ///< within `changes_begin_` to `changes_end_`
+    log_position server_list_end_;  ///< one past the last position known to the VM, from the log or from other VMs
     std::optional<reported_reads> reads_;
     /// How long the sender still defers removals after an outage. VMs of former releases, which report no reads, and
     /// this value say that an outage came before the reads.
@@ -69,15 +70,23 @@
 
 /// @brief True when the changes of @a update bring a VM that knows the list exactly up to @a known_end to the list at
 /// `changes_end_`.
-[[nodiscard]] bool can_follow(const log_update& update, log_offset known_end);
+[[nodiscard]] bool can_follow(const log_update& update, log_position known_end);
 
-/// @brief Splits @a update into parts of at most @a max_changes changes with contiguous offset ranges. Only the last
-/// part has the age of the server list, because the others do not reach its end. The changes of unread offsets stay in
-/// one part, because a VM must not apply some of them; when they are too many for that, the parts begin after them.
+/// @brief Gives the positions of an update without an era, from a VM of a former release, the era @a era.
+void assume_era(log_update& update, log_era era);
+
+/// @brief Removes what @a update says of positions in the log and of how new the data are, when the era of its
+/// positions is not known.
+void drop_positions(log_update& update);
+
+/// @brief Splits @a update into parts of at most @a max_changes changes with contiguous ranges. Only the last
+/// part has the age of the server list, because the others do not reach its end. The changes of unread positions stay
+/// in one part, because a VM must not apply some of them; when they are too many for that, the parts begin after them.
 [[nodiscard]] std::vector<log_update> split_log_update(const log_update& update, std::size_t max_changes);
 
-/// @brief Removes the changes before @a from and moves `changes_begin_` there, or to the end of the unread offsets that
+/// @brief Removes the changes before @a from and moves `changes_begin_` there, or to the end of the unread positions
+/// that
 /// @a from is within.
-void drop_changes_before(log_update& update, log_offset from);
+void drop_changes_before(log_update& update, log_position from);
 
 }  // namespace cornelstall
--- a/packages/decisions/include/cornelstall/decisions/process/evacuations.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/evacuations.hpp
@@ -12,7 +12,7 @@
 /// @brief The newest record about the evacuation of a data centre.
 struct evacuation_record
 {
-    log_offset offset_;
+    log_position position_;
     bool evacuated_ = false;  ///< false when the record removes the evacuation request
 };
 
@@ -22,15 +22,15 @@
 {
     /// Removed requests are kept only while their record is not covered by `known_end_`.
     std::map<data_centre_id, evacuation_record> records_;
-    log_offset known_end_;  ///< every record before this offset is taken into account
-    bool known_ = false;    ///< a whole read of the log or another VM's report has been applied
+    log_position known_end_;  ///< every record before this position is taken into account
+    bool known_ = false;      ///< a whole read of the log or another VM's report has been applied
 };
 
 /// @brief A record about the evacuation of a data centre, with its place in the log.
 struct evacuation_entry
 {
     data_centre_id data_centre_;
-    log_offset offset_;
+    log_position position_;
     bool evacuated_ = false;
 };
 
@@ -38,19 +38,20 @@
 /// force there.
 struct evacuation_snapshot
 {
-    log_offset end_;  ///< covers every record before this offset
+    log_position end_;  ///< covers every record before this position
     std::vector<evacuation_entry> entries_;
 };
 
-/// @brief Applies the record at @a offset. A record that is already taken into account changes nothing.
+/// @brief Applies the record at @a position. A record that is already taken into account changes nothing.
 /// @return true when the data centre became evacuated or is evacuated no longer
-bool apply_evacuation(evacuations& known, const data_centre_id& data_centre, log_offset offset, bool evacuated);
+bool apply_evacuation(evacuations& known, const data_centre_id& data_centre, log_position position, bool evacuated);
 
 /// @brief Records that all records before @a end have been applied.
-void confirm_evacuations(evacuations& known, log_offset end);
+void confirm_evacuations(evacuations& known, log_position end);
 
-/// @brief Applies a whole read of the newest records. A request that is not among them counts as removed by the offset
-/// before the end of the read. A read that ends before `known_end_` is late: only its records from there on count.
+/// @brief Applies a whole read of the newest records. A request that is not among them counts as removed by the
+/// position before the end of the read. A read that ends before `known_end_` is late: only its records from there on
+/// count.
 /// @return the changes of data centres that became evacuated or are evacuated no longer
 [[nodiscard]] std::vector<evacuation_entry> apply_full_evacuation_read(evacuations& known,
                                                                        const evacuation_snapshot& read);
--- a/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -35,13 +35,13 @@
 struct known_server
 {
     listed_server listed_;
-    log_offset record_offset_;  ///< log offset of the record that the entry came from
-    time_point warm_up_until_;  ///< the server is warming up and slower until then
-    time_point avoid_until_;    ///< not chosen until then unless no other server is left
-    milliseconds backoff_{0};   ///< current backoff; doubles with each consecutive failure
-    double slowdown_ = 1.0;     ///< measured time divided by predicted time; above 1 when slower than its profile
-    double min_ratio_ = 0.0;    ///< smallest ratio measured since `slowdown_` was last updated
-    int ratio_count_ = 0;       ///< number of ratios measured since `slowdown_` was last updated
+    log_position record_position_;  ///< of the record that the entry came from
+    time_point warm_up_until_;      ///< the server is warming up and slower until then
+    time_point avoid_until_;        ///< not chosen until then unless no other server is left
+    milliseconds backoff_{0};       ///< current backoff; doubles with each consecutive failure
+    double slowdown_ = 1.0;         ///< measured time divided by predicted time; above 1 when slower than its profile
+    double min_ratio_ = 0.0;        ///< smallest ratio measured since `slowdown_` was last updated
+    int ratio_count_ = 0;           ///< number of ratios measured since `slowdown_` was last updated
     int consecutive_failures_ = 0;
 };
 
@@ -61,7 +61,7 @@
 struct server_directory
 {
     std::map<server_id, known_server> servers_;
-    std::map<server_id, log_offset> removed_;  ///< log offsets of removals; older entries must not undo them
+    std::map<server_id, log_position> removed_;  ///< positions of removals; older entries must not undo them
     std::map<server_id, server_notice> notices_;
     server_limits limits_;
     evacuations evacuations_;
@@ -75,16 +75,16 @@
     milliseconds age_{0};              ///< time since the server said so
 };
 
-/// @brief True when nothing as new as an entry at @a offset is known of the server @a id.
-[[nodiscard]] bool is_newer_entry(const server_directory& directory, const server_id& id, log_offset offset);
+/// @brief True when nothing as new as an entry at @a position is known of the server @a id.
+[[nodiscard]] bool is_newer_entry(const server_directory& directory, const server_id& id, log_position position);
 
-/// @brief Adds or updates @a entry, read at @a offset. A restart under the same id discards all observations.
+/// @brief Adds or updates @a entry, read at @a position. A restart under the same id discards all observations.
 /// @return true when the server is new, was restarted or changed its state
-bool upsert_listed_server(server_directory& directory, listed_server entry, log_offset offset, time_point now);
+bool upsert_listed_server(server_directory& directory, listed_server entry, log_position position, time_point now);
 
 /// @brief Removes the server @a id unless a newer entry is known.
 /// @return true when the server was listed
-bool remove_listed_server(server_directory& directory, const server_id& id, log_offset offset);
+bool remove_listed_server(server_directory& directory, const server_id& id, log_position position);
 
 /// @brief The server @a id, or null when it is not listed.
 [[nodiscard]] known_server* find_server(server_directory& directory, const server_id& id);
--- a/packages/decisions/include/cornelstall/decisions/version/configuration_document.hpp
+++ b/packages/decisions/include/cornelstall/decisions/version/configuration_document.hpp
@@ -12,8 +12,8 @@
 struct configuration_document
 {
     configuration_version version_;
-    log_offset offset_;  ///< offset of its record in the log
-    std::string key_;    ///< key of its record
+    log_position position_;  ///< of its record in the log
+    std::string key_;        ///< key of its record
     std::string text_;
 };
 
--- a/packages/decisions/src/connection/load_report.cpp
+++ b/packages/decisions/src/connection/load_report.cpp
@@ -240,11 +240,11 @@
     }));
 }
 
-log_offset oldest_missing_offset(const vm_peers& peers, log_offset own_next, milliseconds limit, time_point now)
+log_position oldest_missing_position(const vm_peers& peers, log_position own_next, milliseconds limit, time_point now)
 {
     auto oldest = own_next;
     std::ranges::for_each(peers.peers_ | std::views::values, [&](const vm_peer& peer) {
-        const bool is_eligible = peer.server_list_end_ > log_offset{0} && now - peer.heard_at_ < limit;
+        const bool is_eligible = peer.server_list_end_ > log_position{} && now - peer.heard_at_ < limit;
         oldest = is_eligible ? std::min(oldest, peer.server_list_end_) : oldest;
     });
     return oldest;
--- a/packages/decisions/src/connection/log_update.cpp
+++ b/packages/decisions/src/connection/log_update.cpp
@@ -30,9 +30,9 @@
 
 using change_span = std::span<const server_list_change>;
 
-bool is_unread(const log_update& update, log_offset offset)
+bool is_unread(const log_update& update, log_position position)
 {
-    return update.unread_ && update.unread_->begin_ <= offset && offset < update.unread_->end_;
+    return update.unread_ && update.unread_->begin_ <= position && position < update.unread_->end_;
 }
 
 /// The number of the first @a changes, of which there are more than @a max_changes, that go into one part.
@@ -47,8 +47,8 @@
     return static_cast<std::size_t>(first_unread - changes.begin());
 }
 
-/// One past the last offset that a part covers whose last change is at @a last.
-log_offset part_end(const log_update& update, log_offset last)
+/// One past the last position that a part covers whose last change is at @a last.
+log_position part_end(const log_update& update, log_position last)
 {
     return is_unread(update, last) ? update.unread_->end_ : last.next();
 }
@@ -90,7 +90,7 @@
     return std::min(grace_end, learned_at + share_of(bound, max_deferral_share));
 }
 
-bool can_follow(const log_update& update, log_offset known_end)
+bool can_follow(const log_update& update, log_position known_end)
 {
     const bool stops_or_starts_within =
         update.unread_ && (update.changes_end_ < update.unread_->end_ ||
@@ -98,6 +98,36 @@
     return update.changes_begin_ <= known_end && !stops_or_starts_within;
 }
 
+void assume_era(log_update& update, log_era era)
+{
+    const auto assume = [era](log_position& position) {
+        position = position.era() == log_era{} ? log_position{era, position.offset()} : position;
+    };
+    assume(update.changes_begin_);
+    assume(update.changes_end_);
+    assume(update.server_list_end_);
+    std::ranges::for_each(update.changes_, assume, &server_list_change::at_);
+    if (update.unread_)
+    {
+        assume(update.unread_->begin_);
+        assume(update.unread_->end_);
+    }
+    if (update.evacuations_)
+    {
+        assume(update.evacuations_->end_);
+        std::ranges::for_each(update.evacuations_->entries_, assume, &evacuation_entry::position_);
+    }
+}
+
+void drop_positions(log_update& update)
+{
+    log_update kept;
+    kept.log_reachable_ = update.log_reachable_;
+    kept.reads_ = update.reads_;
+    kept.removal_grace_ = update.removal_grace_;
+    update = std::move(kept);
+}
+
 std::vector<log_update> split_log_update(const log_update& update, std::size_t max_changes)
 {
     auto whole = update;
@@ -129,7 +159,7 @@
     return parts;
 }
 
-void drop_changes_before(log_update& update, log_offset from)
+void drop_changes_before(log_update& update, log_position from)
 {
     update.changes_begin_ = std::max(update.changes_begin_, std::min(from, update.changes_end_));
     if (update.unread_ && update.unread_->begin_ < update.changes_begin_)
--- a/packages/decisions/src/process/evacuations.cpp
+++ b/packages/decisions/src/process/evacuations.cpp
@@ -25,7 +25,7 @@
 {
     std::vector<data_centre_id> removed;
     std::ranges::for_each(known.records_, [&](const auto& entry) {
-        if (entry.second.evacuated_ && entry.second.offset_ < snapshot.end_ && !is_listed(snapshot, entry.first))
+        if (entry.second.evacuated_ && entry.second.position_ < snapshot.end_ && !is_listed(snapshot, entry.first))
         {
             removed.push_back(entry.first);
         }
@@ -39,17 +39,17 @@
     // A snapshot without records before its end covers nothing that could have been removed.
     if (snapshot.end_ > known.known_end_)
     {
-        const log_offset last{snapshot.end_.get() - 1};
+        const auto last = snapshot.end_.previous();
         std::ranges::transform(removed_by(known, snapshot), std::back_inserter(changes),
                                [last](const data_centre_id& data_centre) {
                                    return evacuation_entry{data_centre, last, false};
                                });
         std::ranges::for_each(changes, [&known](const evacuation_entry& removed) {
-            known.records_[removed.data_centre_] = {removed.offset_, false};
+            known.records_[removed.data_centre_] = {removed.position_, false};
         });
     }
     std::ranges::copy_if(snapshot.entries_, std::back_inserter(changes), [&known](const evacuation_entry& entry) {
-        return apply_evacuation(known, entry.data_centre_, entry.offset_, entry.evacuated_);
+        return apply_evacuation(known, entry.data_centre_, entry.position_, entry.evacuated_);
     });
     confirm_evacuations(known, snapshot.end_);
     known.known_ = true;
@@ -58,28 +58,28 @@
 
 }  // namespace
 
-bool apply_evacuation(evacuations& known, const data_centre_id& data_centre, log_offset offset, bool evacuated)
+bool apply_evacuation(evacuations& known, const data_centre_id& data_centre, log_position position, bool evacuated)
 {
-    if (offset < known.known_end_)
+    if (position < known.known_end_)
     {
         return false;
     }
     const auto [found, inserted] = known.records_.try_emplace(data_centre);
     auto& record = found->second;
-    if (!inserted && offset <= record.offset_)
+    if (!inserted && position <= record.position_)
     {
         return false;
     }
     const bool changed = record.evacuated_ != evacuated;
-    record = {offset, evacuated};
+    record = {position, evacuated};
     return changed;
 }
 
-void confirm_evacuations(evacuations& known, log_offset end)
+void confirm_evacuations(evacuations& known, log_position end)
 {
     known.known_end_ = std::max(known.known_end_, end);
     std::erase_if(known.records_, [&known](const auto& entry) {
-        return !entry.second.evacuated_ && entry.second.offset_ < known.known_end_;
+        return !entry.second.evacuated_ && entry.second.position_ < known.known_end_;
     });
 }
 
@@ -99,7 +99,7 @@
     std::ranges::for_each(known.records_, [&report](const auto& entry) {
         if (entry.second.evacuated_)
         {
-            report.entries_.push_back({entry.first, entry.second.offset_, true});
+            report.entries_.push_back({entry.first, entry.second.position_, true});
         }
     });
     const auto bytes = std::accumulate(report.entries_.begin(), report.entries_.end(), std::uint64_t{0},
--- a/packages/decisions/src/process/server_directory.cpp
+++ b/packages/decisions/src/process/server_directory.cpp
@@ -74,20 +74,20 @@
 
 }  // namespace
 
-bool is_newer_entry(const server_directory& directory, const server_id& id, log_offset offset)
+bool is_newer_entry(const server_directory& directory, const server_id& id, log_position position)
 {
     const auto removed = directory.removed_.find(id);
     const auto listed = directory.servers_.find(id);
-    return (removed == directory.removed_.end() || removed->second < offset) &&
-           (listed == directory.servers_.end() || listed->second.record_offset_ < offset);
+    return (removed == directory.removed_.end() || removed->second < position) &&
+           (listed == directory.servers_.end() || listed->second.record_position_ < position);
 }
 
-bool upsert_listed_server(server_directory& directory, listed_server entry, log_offset offset, time_point now)
+bool upsert_listed_server(server_directory& directory, listed_server entry, log_position position, time_point now)
 {
     const auto removed = directory.removed_.find(entry.id_);
     if (removed != directory.removed_.end())
     {
-        if (offset <= removed->second)
+        if (position <= removed->second)
         {
             return false;
         }
@@ -95,7 +95,7 @@
     }
     auto [found, inserted] = directory.servers_.try_emplace(entry.id_);
     auto& server = found->second;
-    if (!inserted && offset < server.record_offset_)
+    if (!inserted && position < server.record_position_)
     {
         return false;
     }
@@ -106,20 +106,20 @@
         server = known_server{};
     }
     const bool changed = inserted || restarted || entry.state_ != server.listed_.state_;
-    server.record_offset_ = offset;
+    server.record_position_ = position;
     server.warm_up_until_ = now + entry.cold_remaining_;
     server.listed_ = std::move(entry);
     return changed;
 }
 
-bool remove_listed_server(server_directory& directory, const server_id& id, log_offset offset)
+bool remove_listed_server(server_directory& directory, const server_id& id, log_position position)
 {
     const auto found = directory.servers_.find(id);
-    if (found != directory.servers_.end() && offset < found->second.record_offset_)
+    if (found != directory.servers_.end() && position < found->second.record_position_)
     {
         return false;
     }
-    directory.removed_[id] = offset;
+    directory.removed_[id] = position;
     return directory.servers_.erase(id) > 0;
 }
 
--- a/packages/gateway/include/cornelstall/gateway.hpp
+++ b/packages/gateway/include/cornelstall/gateway.hpp
@@ -15,6 +15,7 @@
 #include "cornelstall/gateway/process/gateway_process.hpp"
 #include "cornelstall/gateway/process/gateway_settings.hpp"
 #include "cornelstall/gateway/process/gateway_state.hpp"
+#include "cornelstall/gateway/process/known_era.hpp"
 #include "cornelstall/gateway/process/loop_lateness.hpp"
 #include "cornelstall/gateway/process/part_guard.hpp"
 #include "cornelstall/gateway/process/record_log.hpp"
--- a/packages/gateway/include/cornelstall/gateway/connection/load_exchange.hpp
+++ b/packages/gateway/include/cornelstall/gateway/connection/load_exchange.hpp
@@ -18,9 +18,9 @@
     gateway_state& state_;
     boost::asio::ip::udp::socket socket_;
     boost::asio::steady_timer report_timer_;
-    std::uint64_t sequence_ = 0;   ///< of the last report sent
-    log_offset sent_changes_end_;  ///< end of the server list when its changes were last sent
-    time_point changes_sent_at_;   ///< when changes of the server list were last sent
+    std::uint64_t sequence_ = 0;     ///< of the last report sent
+    log_position sent_changes_end_;  ///< end of the server list when its changes were last sent
+    time_point changes_sent_at_;     ///< when changes of the server list were last sent
     std::vector<char> received_bytes_ = std::vector<char>(max_datagram_bytes);  ///< the datagram that is being read
     time_point news_sent_at_;  ///< when evidence about prompt parts and limits of servers was last sent
 };
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -9,6 +9,7 @@
 #include "cornelstall/gateway/connection/caller_socket.hpp"
 #include "cornelstall/gateway/process/buffer_budget.hpp"
 #include "cornelstall/gateway/process/gateway_settings.hpp"
+#include "cornelstall/gateway/process/known_era.hpp"
 #include "cornelstall/gateway/process/loop_lateness.hpp"
 #include "cornelstall/gateway/process/server_list.hpp"
 #include "cornelstall/gateway/process/wait_queue.hpp"
@@ -45,6 +46,7 @@
     /// Boot time at which the evacuation requests were last known to be those in force. They come from the same log as
     /// the routing table, but another VM's report may confirm the table without them.
     std::chrono::nanoseconds evacuations_confirmed_at_{0};
+    known_era era_;                       ///< of the platform's log
     bool server_list_reachable_ = false;  ///< the last read of the server list succeeded
     server_list server_list_;
     server_directory directory_;
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -26,7 +26,7 @@
 /// @brief A removal that is not applied yet, because the entry may only have expired in an outage of the log.
 struct deferred_removal
 {
-    log_offset at_;
+    log_position at_;
     time_point due_at_;
 };
 
@@ -44,13 +44,13 @@
 struct server_list
 {
     bool listed_ = false;                           ///< the full list has been read once
-    log_offset next_;                               ///< one past the last known offset
+    log_position next_;                             ///< one past the last known position
     std::chrono::nanoseconds confirmed_at_{0};      ///< boot time at which the list was last known to be up to date
     std::chrono::nanoseconds read_at_{0};           ///< boot time of this VM's last read of the log
     std::chrono::nanoseconds own_confirmed_at_{0};  ///< like `confirmed_at_`, from own reads only; reports carry it
-    log_offset changes_begin_;                      ///< `changes_` is complete from here to `next_`
-    std::deque<recent_change> changes_;             ///< recent changes, ordered by offset, for VMs that lack them
-    std::optional<unread_offsets> unread_;          ///< offsets that `changes_` spans without their records
+    log_position changes_begin_;                    ///< `changes_` is complete from here to `next_`
+    std::deque<recent_change> changes_;             ///< recent changes, ordered by position, for VMs that lack them
+    std::optional<unread_span> unread_;             ///< positions that `changes_` spans without their records
     /// The records after the last full read have been read to their end. Before, servers may be missing or known that
     /// were removed or added at `next_` or later, while the pages of the full read were sent.
     bool is_exact_ = true;
@@ -66,11 +66,11 @@
 
 /// @brief Applies a read of the full list and removes the known servers that are not in it.
 /// @param listed all ids in the list, including those whose entries cannot be decoded
-/// @param next one past the last offset covered by the read
+/// @param next one past the last position covered by the read
 /// @param known_before end of the known list when the read was requested. A read that ends after it, but before what
 /// has become known since, is ignored.
 void apply_full_list(gateway_state& state, std::vector<server_list_change> entries, const std::set<server_id>& listed,
-                     log_offset next, log_offset known_before = {});
+                     log_position next, log_position known_before = {});
 
 /// @brief Records that the log has just answered a read of this VM that was sent at @a requested_at, before what was
 /// read is applied. If no VM had read the list for some time, removals are deferred for a grace period: servers could
@@ -82,10 +82,10 @@
 void apply_deferred_removals(gateway_state& state);
 
 /// @brief Records that the list is known up to, but not including, @a next and was up to date at @a confirmed_at.
-void confirm_list(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at);
+void confirm_list(gateway_state& state, log_position next, std::chrono::nanoseconds confirmed_at);
 
 /// @brief Records a confirmation, as confirm_list() does, by a read of this VM itself.
-void confirm_list_read(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at);
+void confirm_list_read(gateway_state& state, log_position next, std::chrono::nanoseconds confirmed_at);
 
 /// @brief Records that a read of this VM itself confirmed the active routing table and the evacuation requests at
 /// @a confirmed_at.
--- a/packages/gateway/src/connection/load_exchange.cpp
+++ b/packages/gateway/src/connection/load_exchange.cpp
@@ -242,8 +242,35 @@
     apply_reported_limits(state, report.vm_, report.limits_);
 }
 
+/// True for an update whose positions come from a VM of a former release, which reads no eras.
+bool lacks_era(const log_update& update)
+{
+    const bool names_list = update.server_list_end_ > log_position{};
+    const bool names_evacuations = update.evacuations_ && update.evacuations_->end_ > log_position{};
+    return (names_list && update.server_list_end_.era() == log_era{}) ||
+           (names_evacuations && update.evacuations_->end_.era() == log_era{});
+}
+
+/// Gives the positions of a report without an era the era that this VM reads. Once the log has come back from a copy,
+/// it is open which era they are of.
+void complete_era(const gateway_state& state, log_update& update)
+{
+    const auto era = state.era_.era_.value_or(log_era{});
+    if (era == log_era{} || !lacks_era(update))
+    {
+        return;
+    }
+    if (state.era_.returned_)
+    {
+        drop_positions(update);
+        return;
+    }
+    assume_era(update, era);
+}
+
 void apply_load(gateway_state& state, load_report report)
 {
+    complete_era(state, report.log_update_);
     if (!state.peers_.peers_.contains(report.vm_))
     {
         log_event(severity::info, peer_found, "received a load report from a new VM",
--- a/packages/gateway/src/process/announce.cpp
+++ b/packages/gateway/src/process/announce.cpp
@@ -17,8 +17,8 @@
 {
     while (true)
     {
-        const bool appended = co_await log.append_(key, value);
-        if (appended)
+        const auto appended = co_await log.append_(key, value);
+        if (appended.acknowledged_)
         {
             co_return;
         }
--- a/packages/gateway/src/process/evacuation_list.cpp
+++ b/packages/gateway/src/process/evacuation_list.cpp
@@ -13,18 +13,18 @@
 
 void handle_change(gateway_state& state, const evacuation_entry& change, const std::string& source)
 {
-    const auto offset = std::to_string(change.offset_.get());
+    const auto position = to_text(change.position_);
     if (change.evacuated_)
     {
         log_event(severity::warning, data_centre_evacuated,
                   "an operator evacuates the data centre; nothing more is sent to its servers",
-                  {{"data_centre", change.data_centre_.get()}, {"offset", offset}, {"source", source}});
+                  {{"data_centre", change.data_centre_.get()}, {"position", position}, {"source", source}});
     }
     else
     {
         log_event(severity::info, evacuation_ended,
                   "the data centre is not evacuated any more; its servers are used again",
-                  {{"data_centre", change.data_centre_.get()}, {"offset", offset}, {"source", source}});
+                  {{"data_centre", change.data_centre_.get()}, {"position", position}, {"source", source}});
     }
     notify_capacity_changed(state.wait_queues_);
 }
@@ -33,7 +33,7 @@
 
 void apply_evacuation_record(gateway_state& state, const evacuation_entry& entry)
 {
-    if (apply_evacuation(state.directory_.evacuations_, entry.data_centre_, entry.offset_, entry.evacuated_))
+    if (apply_evacuation(state.directory_.evacuations_, entry.data_centre_, entry.position_, entry.evacuated_))
     {
         handle_change(state, entry, log_read);
     }
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -53,7 +53,7 @@
     {
         log_event(severity::warning, entry_unreadable,
                   "ignoring a server list entry that describes no usable server; check what the server registered",
-                  {{"server", record.key_}, {"offset", std::to_string(record.offset_.get())}});
+                  {{"server", record.key_}, {"position", to_text(record.position_)}});
     }
 }
 
@@ -61,7 +61,7 @@
 std::optional<server_list_change> to_list_change(follower& self, const keyed_record& record)
 {
     server_list_change change;
-    change.at_ = record.offset_;
+    change.at_ = record.position_;
     if (record.removed_)
     {
         self.unreadable_.erase(record.key_);
@@ -80,7 +80,7 @@
     return change;
 }
 
-void apply_full_read(follower& self, const record_page& full_read, log_offset known_before)
+void apply_full_read(follower& self, const record_page& full_read, log_position known_before)
 {
     std::vector<server_list_change> entries;
     std::set<server_id> listed;
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -39,13 +39,13 @@
     return std::chrono::duration_cast<milliseconds>(boot_time() - boot_timestamp);
 }
 
-void remove_server(gateway_state& state, const server_id& id, log_offset at, const std::string& source)
+void remove_server(gateway_state& state, const server_id& id, log_position at, const std::string& source)
 {
     if (remove_listed_server(state.directory_, id, at))
     {
         log_event(severity::info, server_removed, "server removed from the server list",
                   {{"server", id.get()},
-                   {"offset", std::to_string(at.get())},
+                   {"position", to_text(at)},
                    {"source", source},
                    {"list_age_ms", std::to_string(server_list_age(state).count())}});
         listed_server removed;
@@ -64,7 +64,7 @@
 }
 
 /// Forgets the changes before @a begin. VMs that lack them read the log themselves.
-void start_changes_at(server_list& list, log_offset begin)
+void start_changes_at(server_list& list, log_position begin)
 {
     list.changes_begin_ = std::max(list.changes_begin_, begin);
     list.unread_.reset();
@@ -74,7 +74,7 @@
 
 /// Records that the changes from @a unread on are the difference of two lists. Of several such differences only the
 /// latest is sent to other VMs.
-void add_unread(server_list& list, const unread_offsets& unread)
+void add_unread(server_list& list, const unread_span& unread)
 {
     if (list.unread_)
     {
@@ -116,7 +116,7 @@
               change.server_.state_ == server_state::ready ? "server listed as ready" : "server listed as draining",
               {{"server", change.server_.id_.get()},
                {"address", change.server_.address_.get()},
-               {"offset", std::to_string(change.at_.get())},
+               {"position", to_text(change.at_)},
                {"source", source},
                {"list_age_ms", std::to_string(server_list_age(state).count())}});
 }
@@ -182,7 +182,7 @@
         log_event(severity::info, removal_deferred,
                   "the entry of a ready server may have expired in an outage of the log; the server is kept for a time",
                   {{"server", change.server_.id_.get()},
-                   {"offset", std::to_string(change.at_.get())},
+                   {"position", to_text(change.at_)},
                    {"source", source},
                    {"readable_for_ms", std::to_string(age_of(state.server_list_.reads_.since_).count())},
                    {"for_ms", std::to_string(left.count())}});
@@ -229,7 +229,7 @@
 }
 
 void apply_full_list(gateway_state& state, std::vector<server_list_change> entries, const std::set<server_id>& listed,
-                     log_offset next, log_offset known_before)
+                     log_position next, log_position known_before)
 {
     auto& list = state.server_list_;
     const bool is_overtaken = list.listed_ && known_before <= next && next < list.next_;
@@ -241,13 +241,13 @@
     {
         log_event(severity::info, list_read_again,
                   "the full server list was read again, without the records in between",
-                  {{"known_end", std::to_string(list.next_.get())},
-                   {"offset", std::to_string(next.get())},
+                  {{"known_end", to_text(list.next_)},
+                   {"position", to_text(next)},
                    {"servers", std::to_string(listed.size())},
                    {"list_age_ms", std::to_string(server_list_age(state).count())}});
         add_unread(list, {list.next_, next});
     }
-    // Log updates to other VMs carry these changes like those that were read one by one, ordered by offset.
+    // Log updates to other VMs carry these changes like those that were read one by one, ordered by position.
     std::ranges::sort(entries, {}, &server_list_change::at_);
     std::ranges::for_each(entries, [&state, next](const server_list_change& entry) {
         // The pages of the read are no snapshot. What is newer than the first of them is read once more as a record,
@@ -263,12 +263,12 @@
                          [&listed](const server_id& id) { return !listed.contains(id); });
     // A server that registers again under this id has a record at `next` or later, so the removal must come before
     // that.
-    const log_offset last_offset{next.get() == 0 ? 0 : next.get() - 1};
+    const auto last_position = next.previous();
     std::ranges::for_each(unlisted, [&](const server_id& id) {
         server_list_change change;
         change.server_.id_ = id;
         change.removed_ = true;
-        change.at_ = last_offset;
+        change.at_ = last_position;
         keep_change(list, change, std::chrono::steady_clock::now());
         apply_to_directory(state, change, log_read);
     });
@@ -281,13 +281,13 @@
     list.is_exact_ = false;
 }
 
-void confirm_list(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at)
+void confirm_list(gateway_state& state, log_position next, std::chrono::nanoseconds confirmed_at)
 {
     state.server_list_.next_ = std::max(state.server_list_.next_, next);
     state.server_list_.confirmed_at_ = std::max(state.server_list_.confirmed_at_, confirmed_at);
 }
 
-void confirm_list_read(gateway_state& state, log_offset next, std::chrono::nanoseconds confirmed_at)
+void confirm_list_read(gateway_state& state, log_position next, std::chrono::nanoseconds confirmed_at)
 {
     confirm_list(state, next, confirmed_at);
     record_list_read(state, confirmed_at);
@@ -309,7 +309,7 @@
     drop_old_changes(list, now);
     log_update update;
     update.log_reachable_ = state.server_list_reachable_;
-    update.server_list_end_ = list.listed_ ? list.next_ : log_offset{0};
+    update.server_list_end_ = list.listed_ ? list.next_ : log_position{};
     update.removal_grace_ = removal_grace(list.reads_, boot_time());
     if (list.listed_)
     {
@@ -328,7 +328,7 @@
         update.changes_end_ = list.next_;
         update.unread_ = list.unread_;
         std::ranges::transform(list.changes_, std::back_inserter(update.changes_), &recent_change::change_);
-        drop_changes_before(update, oldest_missing_offset(state.peers_, list.next_, reader_silence_limit, now));
+        drop_changes_before(update, oldest_missing_position(state.peers_, list.next_, reader_silence_limit, now));
         if (update.changes_.size() > max_changes_per_update)
         {
             drop_changes_before(update, update.changes_[update.changes_.size() - max_changes_per_update].at_);
@@ -392,7 +392,7 @@
     log_event(severity::info, list_behind, "the reports of the other VMs do not keep the server list up to date",
               {{"list_age_ms", std::to_string(server_list_age(state).count())},
                {"position", std::to_string(own_reader_position(state))},
-               {"known_end", std::to_string(list.next_.get())},
+               {"known_end", to_text(list.next_)},
                {"applied", std::to_string(list.updates_.applied_)},
                {"without_age", std::to_string(list.updates_.without_age_)},
                {"with_gap", std::to_string(list.updates_.with_gap_)},
--- a/packages/gateway/src/version/follow_table.cpp
+++ b/packages/gateway/src/version/follow_table.cpp
@@ -46,7 +46,8 @@
 std::optional<evacuation_entry> decode_evacuation(const follower& self, const keyed_record& record)
 {
     const auto data_centre = self.decode_evacuation_ ? self.decode_evacuation_(record) : std::nullopt;
-    return data_centre ? std::optional(evacuation_entry{*data_centre, record.offset_, !record.removed_}) : std::nullopt;
+    return data_centre ? std::optional(evacuation_entry{*data_centre, record.position_, !record.removed_})
+                       : std::nullopt;
 }
 
 void apply_record(follower& self, const keyed_record& record)
@@ -69,13 +70,13 @@
         log_event(severity::error, record_unreadable,
                   "cannot decode a version of the routing table; keeping the active version, publish a corrected "
                   "configuration",
-                  {{"key", record.key_}, {"offset", std::to_string(record.offset_.get())}});
+                  {{"key", record.key_}, {"position", to_text(record.position_)}});
         return;
     }
     const auto version = table->version_;
     if (activate_table(self.state_, std::move(table)))
     {
-        self.state_.table_document_ = {version, record.offset_, record.key_, record.value_};
+        self.state_.table_document_ = {version, record.position_, record.key_, record.value_};
         self.state_.schedule_load_report_();
         self.failed_transfers_ = 0;
     }
@@ -94,10 +95,10 @@
 }
 
 /// Gets the newest version from another VM.
-/// @param next raised to the offset after the record of the document, but not beyond the records about evacuations that
-/// this VM knows
+/// @param next raised to the position after the record of the document, but not beyond the records about evacuations
+/// that this VM knows
 /// @return true when a newer version became active
-task<bool> fetch_from_peer(follower& self, vm_id source, log_offset& next)
+task<bool> fetch_from_peer(follower& self, vm_id source, log_position& next)
 {
     auto& state = self.state_;
     const http_client client{state.executor_, document_address(state, source), max_document_bytes};
@@ -109,11 +110,11 @@
         co_return false;
     }
     const auto version_before = state.table_ ? state.table_->version_ : configuration_version{};
-    apply_record(self, {document->key_, document->text_, false, document->offset_});
+    apply_record(self, {document->key_, document->text_, false, document->position_});
     const bool activated = state.table_ && state.table_->version_ > version_before;
     self.failed_transfers_ += activated ? 0 : 1;
     const auto known_end = state.directory_.evacuations_.known_end_;
-    next = activated ? std::max(next, std::min(document->offset_.next(), known_end)) : next;
+    next = activated ? std::max(next, std::min(document->position_.next(), known_end)) : next;
     co_return activated;
 }
 
@@ -217,7 +218,7 @@
     co_await wait_after_failed_read(self.state_, self.backoff_, is_over);
 }
 
-task<> follow_changes(follower& self, log_offset next)
+task<> follow_changes(follower& self, log_position next)
 {
     auto& state = self.state_;
     while (true)
--- a/packages/value/include/cornelstall/value.hpp
+++ b/packages/value/include/cornelstall/value.hpp
@@ -5,6 +5,7 @@
 
 #include "cornelstall/value/errors.hpp"
 #include "cornelstall/value/ids.hpp"
+#include "cornelstall/value/log_position.hpp"
 #include "cornelstall/value/outcome.hpp"
 #include "cornelstall/value/strong_type.hpp"
 #include "cornelstall/value/units.hpp"
--- a/packages/value/include/cornelstall/value/ids.hpp
+++ b/packages/value/include/cornelstall/value/ids.hpp
@@ -34,6 +34,7 @@
 struct attempt_tag;
 struct part_tag;
 struct log_offset_tag;
+struct log_era_tag;
 struct configuration_version_tag;
 struct fencing_tag;
 struct incarnation_tag;
@@ -89,8 +90,11 @@
 using attempt_number = strong_number<detail::attempt_tag, std::uint32_t>;
 /// @brief The number of a part of one answer, from 0.
 using part_number = strong_number<detail::part_tag, std::uint64_t>;
-/// @brief The position of a record in one stream of the log, from 1; 0 means none.
+/// @brief The position of a record in one stream of the own interface's log, from 1; 0 means none.
 using log_offset = strong_number<detail::log_offset_tag, std::uint64_t>;
+/// @brief The number of times that a log has come back from an older copy, as it counts them itself. Offsets of two
+/// eras number different records.
+using log_era = strong_number<detail::log_era_tag, std::uint64_t>;
 /// @brief The log offset of the last accepted configuration change; 0 means none.
 using configuration_version = strong_number<detail::configuration_version_tag, std::uint64_t>;
 /// @brief The fencing number that orders of a lease holder carry; it only increases.
--- a/packages/wire/src/connection/load_codec.cpp
+++ b/packages/wire/src/connection/load_codec.cpp
@@ -113,7 +113,7 @@
 {
     const auto& server = change.server_;
     message.set_id(server.id_.get());
-    message.set_at(change.at_.get());
+    message.set_at(change.at_.offset().get());
     message.set_removed(change.removed_);
     if (change.removed_)
     {
@@ -128,10 +128,10 @@
     message.set_warm_up_ms(static_cast<std::uint32_t>(server.cold_remaining_.count()));
 }
 
-server_list_change decode_change(const load::ServerChange& message)
+server_list_change decode_change(const load::ServerChange& message, log_era era)
 {
     server_list_change change;
-    change.at_ = log_offset{message.at()};
+    change.at_ = log_position{era, record_offset{message.at()}};
     change.removed_ = message.removed();
     auto& server = change.server_;
     server.id_ = server_id{message.id()};
@@ -157,23 +157,33 @@
 
 void encode_evacuations(load::Evacuations& message, const evacuation_snapshot& snapshot)
 {
-    message.set_end(snapshot.end_.get());
+    message.set_end(snapshot.end_.offset().get());
+    message.set_era(snapshot.end_.era().get());
     std::ranges::for_each(snapshot.entries_, [&message](const evacuation_entry& entry) {
-        auto& written = *message.add_entries();
+        auto& written = entry.evacuated_ ? *message.add_entries() : *message.add_ended();
         written.set_data_centre(entry.data_centre_.get());
-        written.set_at(entry.offset_.get());
+        written.set_at(entry.position_.offset().get());
+        written.set_era(entry.position_.era().get());
     });
 }
 
-evacuation_snapshot decode_evacuations(const load::Evacuations& message)
+void decode_entries(evacuation_snapshot& snapshot, const google::protobuf::RepeatedPtrField<load::Evacuation>& entries,
+                    bool evacuated)
 {
-    evacuation_snapshot snapshot{log_offset{message.end()}, {}};
-    std::ranges::for_each(message.entries(), [&snapshot](const load::Evacuation& entry) {
+    std::ranges::for_each(entries, [&](const load::Evacuation& entry) {
         if (!entry.data_centre().empty())
         {
-            snapshot.entries_.push_back({data_centre_id{entry.data_centre()}, log_offset{entry.at()}, true});
+            snapshot.entries_.push_back({data_centre_id{entry.data_centre()},
+                                         log_position{log_era{entry.era()}, record_offset{entry.at()}}, evacuated});
         }
     });
+}
+
+evacuation_snapshot decode_evacuations(const load::Evacuations& message)
+{
+    evacuation_snapshot snapshot{log_position{log_era{message.era()}, record_offset{message.end()}}, {}};
+    decode_entries(snapshot, message.entries(), true);
+    decode_entries(snapshot, message.ended(), false);
     return snapshot;
 }
 
@@ -182,9 +192,10 @@
     message.set_reached(news.log_reachable_);
     message.set_table_age_plus_1(age_plus_1(news.routing_table_age_));
     message.set_list_age_plus_1(age_plus_1(news.server_list_age_));
-    message.set_list_from(news.changes_begin_.get());
-    message.set_list_next(news.changes_end_.get());
-    message.set_list_known(news.server_list_end_.get());
+    message.set_list_from(news.changes_begin_.offset().get());
+    message.set_list_next(news.changes_end_.offset().get());
+    message.set_list_known(news.server_list_end_.offset().get());
+    message.set_list_era(news.server_list_end_.era().get());
     message.set_removal_grace_ms(
         static_cast<std::uint32_t>(std::clamp<std::int64_t>(news.removal_grace_.count(), 0, max_time_ms)));
     if (news.reads_)
@@ -194,8 +205,8 @@
     }
     if (news.unread_)
     {
-        message.set_unread_from(news.unread_->begin_.get());
-        message.set_unread_next(news.unread_->end_.get());
+        message.set_unread_from(news.unread_->begin_.offset().get());
+        message.set_unread_next(news.unread_->end_.offset().get());
     }
     if (news.evacuations_)
     {
@@ -211,9 +222,10 @@
     news.log_reachable_ = message.reached();
     news.routing_table_age_ = age_of(message.table_age_plus_1());
     news.server_list_age_ = age_of(message.list_age_plus_1());
-    news.changes_begin_ = log_offset{message.list_from()};
-    news.changes_end_ = log_offset{message.list_next()};
-    news.server_list_end_ = log_offset{message.list_known()};
+    const log_era era{message.list_era()};
+    news.changes_begin_ = {era, record_offset{message.list_from()}};
+    news.changes_end_ = {era, record_offset{message.list_next()}};
+    news.server_list_end_ = {era, record_offset{message.list_known()}};
     news.removal_grace_ = decode_time(message.removal_grace_ms());
     const auto reads_since_age = age_of(message.reads_since_age_plus_1());
     const auto reads_until_age = age_of(message.reads_until_age_plus_1());
@@ -224,13 +236,15 @@
     }
     if (message.unread_next() > message.unread_from())
     {
-        news.unread_ = unread_offsets{log_offset{message.unread_from()}, log_offset{message.unread_next()}};
+        news.unread_ =
+            unread_span{{era, record_offset{message.unread_from()}}, {era, record_offset{message.unread_next()}}};
     }
     if (message.has_evacuations())
     {
         news.evacuations_ = decode_evacuations(message.evacuations());
     }
-    std::ranges::transform(message.changes(), std::back_inserter(news.changes_), decode_change);
+    std::ranges::transform(message.changes(), std::back_inserter(news.changes_),
+                           [era](const load::ServerChange& change) { return decode_change(change, era); });
     return news;
 }
 
@@ -341,7 +355,8 @@
 {
     load::ConfigurationDocument message;
     message.set_version(document.version_.get());
-    message.set_offset(document.offset_.get());
+    message.set_offset(document.position_.offset().get());
+    message.set_era(document.position_.era().get());
     message.set_key(document.key_);
     message.set_text(document.text_);
     return message.SerializeAsString();
@@ -354,7 +369,8 @@
     {
         return std::nullopt;
     }
-    return configuration_document{configuration_version{message.version()}, log_offset{message.offset()}, message.key(),
+    return configuration_document{configuration_version{message.version()},
+                                  log_position{log_era{message.era()}, record_offset{message.offset()}}, message.key(),
                                   message.text()};
 }
 
--- a/tests/decisions/cells_test.cpp
+++ b/tests/decisions/cells_test.cpp
@@ -4,8 +4,10 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/decisions.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 
 namespace
 {
@@ -20,7 +22,7 @@
         listed_server entry;
         entry.id_ = server_id{"server-" + std::to_string(index)};
         entry.service_ = service_id{"s"};
-        upsert_listed_server(directory, entry, log_offset{1}, now);
+        upsert_listed_server(directory, entry, at_offset(1), now);
     }
     return directory;
 }
--- a/tests/decisions/engine_simulation_test.cpp
+++ b/tests/decisions/engine_simulation_test.cpp
@@ -2,8 +2,10 @@
 
 #include "cornelstall/decisions.hpp"
 #include "decisions/choice_requests.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 using testing::request_for;
 
 namespace
@@ -187,7 +189,7 @@
         entry.id_ = server_id{name};
         entry.service_ = service.id_;
         entry.address_ = socket_address{std::string("10.0.0.1:8") + name};
-        upsert_listed_server(directory, entry, log_offset{1}, now);
+        upsert_listed_server(directory, entry, at_offset(1), now);
     }
     auto& busy = load.engines_[server_id{"b"}];
     add_work(busy, make_work(1, 5000, short_target, now), now);
@@ -219,7 +221,7 @@
         entry.id_ = server_id{name};
         entry.service_ = service.id_;
         entry.address_ = socket_address{std::string("10.0.0.1:8") + name};
-        upsert_listed_server(directory, entry, log_offset{1}, now);
+        upsert_listed_server(directory, entry, at_offset(1), now);
     }
     add_work(load.engines_[server_id{"a"}], make_work(1, 182000, long_target, now), now);
     auto request = request_for(service, make_work(2, 5000, short_target, now), "z", 7);
@@ -247,7 +249,7 @@
         entry.service_ = service.id_;
         entry.address_ = socket_address{std::string("10.0.0.1:80") + name};
         entry.data_centre_ = data_centre_id{std::string(name) == "near" ? "own" : "other"};
-        upsert_listed_server(directory, entry, log_offset{1}, now);
+        upsert_listed_server(directory, entry, at_offset(1), now);
     }
     // The near engine prefills a long prompt, so an idle engine in the other data centre is the better choice.
     add_work(load.engines_[server_id{"near"}], make_work(1, 182000, long_target, now), now);
--- a/tests/decisions/evacuation_property_test.cpp
+++ b/tests/decisions/evacuation_property_test.cpp
@@ -6,8 +6,10 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/decisions.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 
 namespace
 {
@@ -281,7 +283,7 @@
             if (newest && !dropped && !left_out)
             {
                 read.entries_.push_back(
-                    {data_centres.at(data_centre), log_offset{*newest}, records_[*newest].evacuated_});
+                    {data_centres.at(data_centre), at_offset(*newest), records_[*newest].evacuated_});
             }
         }
     }
@@ -293,7 +295,7 @@
         {
             if (const auto data_centre = records_[index].data_centre_)
             {
-                read.entries_.push_back({data_centres.at(*data_centre), log_offset{index}, records_[index].evacuated_});
+                read.entries_.push_back({data_centres.at(*data_centre), at_offset(index), records_[index].evacuated_});
             }
         }
     }
@@ -306,12 +308,12 @@
         if (!read.fails_)
         {
             std::ranges::for_each(read.entries_, [&vm](const evacuation_entry& entry) {
-                (void)apply_evacuation(vm.known_, entry.data_centre_, entry.offset_, entry.evacuated_);
+                (void)apply_evacuation(vm.known_, entry.data_centre_, entry.position_, entry.evacuated_);
             });
         }
         if (!read.fails_ && read.whole_log_ && removes_missing)
         {
-            (void)apply_full_evacuation_read(vm.known_, {log_offset{read.next_}, read.entries_});
+            (void)apply_full_evacuation_read(vm.known_, {at_offset(read.next_), read.entries_});
         }
         if (read.fails_ || !removes_missing)
         {
@@ -322,7 +324,7 @@
             check_order(vm);
             return;
         }
-        confirm_evacuations(vm.known_, log_offset{read.next_});
+        confirm_evacuations(vm.known_, at_offset(read.next_));
         vm.has_read_ = true;
         vm.next_ = read.next_;
         vm.failed_delay_ = first_failed_delay;
@@ -400,7 +402,7 @@
         }
         const auto newest = newest_record(std::nullopt, log_end(now_));
         const std::size_t end = newest ? *newest + 1 : 0;
-        const auto limit = fault_ == model_fault::documents_skip_records ? end : vm.known_.known_end_.get();
+        const auto limit = fault_ == model_fault::documents_skip_records ? end : vm.known_.known_end_.offset().get();
         vm.next_ = std::max<std::size_t>(vm.next_, std::min<std::size_t>(end, limit));
     }
 
@@ -416,7 +418,7 @@
                 const bool evacuated = is_evacuated(vm.known_, data_centres.at(data_centre));
                 const auto newest = newest_record(data_centre, prefix);
                 return evacuated == evacuated_before(data_centre, prefix) &&
-                       (!evacuated || record->second.offset_.get() == *newest);
+                       (!evacuated || record->second.position_.offset().get() == *newest);
             };
             const auto prefixes = std::views::iota(oldest, end + 1);
             const auto prefix = std::ranges::find_if(prefixes, fits);
--- a/tests/decisions/gateway_state_test.cpp
+++ b/tests/decisions/gateway_state_test.cpp
@@ -1,8 +1,10 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/decisions.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 
 namespace
 {
@@ -74,24 +76,24 @@
 TEST_CASE("a server that restarts under the same id has no back-off from earlier failures")
 {
     server_directory directory;
-    CHECK(upsert_listed_server(directory, make_server("a", 1), log_offset{1}, start));
+    CHECK(upsert_listed_server(directory, make_server("a", 1), at_offset(1), start));
     auto& server = directory.servers_.at(server_id{"a"});
     record_failure(server, start);
-    CHECK_FALSE(upsert_listed_server(directory, make_server("a", 1), log_offset{2}, start));
+    CHECK_FALSE(upsert_listed_server(directory, make_server("a", 1), at_offset(2), start));
     CHECK(server.avoid_until_ > start);
-    CHECK(upsert_listed_server(directory, make_server("a", 2), log_offset{3}, start));
+    CHECK(upsert_listed_server(directory, make_server("a", 2), at_offset(3), start));
     CHECK(server.avoid_until_ <= start);
 }
 
 TEST_CASE("an entry older than the removal of a server does not restore the server")
 {
     server_directory directory;
-    upsert_listed_server(directory, make_server("a", 1), log_offset{5}, start);
-    CHECK_FALSE(remove_listed_server(directory, server_id{"a"}, log_offset{4}));
-    CHECK(remove_listed_server(directory, server_id{"a"}, log_offset{6}));
-    CHECK_FALSE(upsert_listed_server(directory, make_server("a", 1), log_offset{5}, start));
+    upsert_listed_server(directory, make_server("a", 1), at_offset(5), start);
+    CHECK_FALSE(remove_listed_server(directory, server_id{"a"}, at_offset(4)));
+    CHECK(remove_listed_server(directory, server_id{"a"}, at_offset(6)));
+    CHECK_FALSE(upsert_listed_server(directory, make_server("a", 1), at_offset(5), start));
     CHECK_FALSE(any_ready(directory));
-    CHECK(upsert_listed_server(directory, make_server("a", 1), log_offset{7}, start));
+    CHECK(upsert_listed_server(directory, make_server("a", 1), at_offset(7), start));
     CHECK(any_ready(directory));
 }
 
@@ -99,8 +101,8 @@
 TEST_CASE("a draining server is not among the ready servers")
 {
     server_directory directory;
-    upsert_listed_server(directory, make_server("a", 1), log_offset{1}, start);
-    CHECK(upsert_listed_server(directory, make_server("a", 1, server_state::draining), log_offset{2}, start));
+    upsert_listed_server(directory, make_server("a", 1), at_offset(1), start);
+    CHECK(upsert_listed_server(directory, make_server("a", 1, server_state::draining), at_offset(2), start));
     CHECK(ready_servers(directory, service_id{"s"}, start).empty());
 }
 
--- a/tests/decisions/joint_prefill_test.cpp
+++ b/tests/decisions/joint_prefill_test.cpp
@@ -6,8 +6,10 @@
 
 #include "cornelstall/decisions.hpp"
 #include "decisions/choice_requests.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 using testing::request_for;
 
 namespace
@@ -54,7 +56,7 @@
             entry.id_ = server_id{"engine-" + std::to_string(index)};
             entry.service_ = service_.id_;
             entry.address_ = socket_address{"10.0.0." + std::to_string(index + 1) + ":80"};
-            upsert_listed_server(directory_, entry, log_offset{1}, now);
+            upsert_listed_server(directory_, entry, at_offset(1), now);
         }
     }
 
--- a/tests/decisions/limit_shares_property_test.cpp
+++ b/tests/decisions/limit_shares_property_test.cpp
@@ -4,8 +4,10 @@
 #include <random>
 
 #include "cornelstall/decisions.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 
 namespace
 {
@@ -141,7 +143,7 @@
             listed_server server;
             server.id_ = id_of(index);
             server.service_ = service_id{"s"};
-            upsert_listed_server(vm.directory_, server, log_offset{1}, now_);
+            upsert_listed_server(vm.directory_, server, at_offset(1), now_);
         }
         std::ranges::for_each(vms_, [&](const model_vm& other) {
             if (other.id_ != vm.id_)
--- a/tests/decisions/log_update_test.cpp
+++ b/tests/decisions/log_update_test.cpp
@@ -1,8 +1,10 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/decisions.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 
 namespace
 {
@@ -61,23 +63,23 @@
     // Guards against VMs that lose one part of many changes and go on sending to servers that have left.
     log_update update;
     update.server_list_age_ = milliseconds{20};
-    update.changes_begin_ = log_offset{5};
-    update.changes_end_ = log_offset{40};
+    update.changes_begin_ = at_offset(5);
+    update.changes_end_ = at_offset(40);
     for (const std::uint64_t at : {10U, 20U, 30U})
     {
         server_list_change change;
-        change.at_ = log_offset{at};
+        change.at_ = at_offset(at);
         update.changes_.push_back(change);
     }
     CHECK(split_log_update(update, 3).size() == 1);
     const auto parts = split_log_update(update, 2);
     REQUIRE(parts.size() == 2);
-    CHECK(parts[0].changes_begin_ == log_offset{5});
-    CHECK(parts[0].changes_end_ == log_offset{21});
+    CHECK(parts[0].changes_begin_ == at_offset(5));
+    CHECK(parts[0].changes_end_ == at_offset(21));
     CHECK(parts[0].changes_.size() == 2);
     CHECK_FALSE(parts[0].server_list_age_);
-    CHECK(parts[1].changes_begin_ == log_offset{21});
-    CHECK(parts[1].changes_end_ == log_offset{40});
+    CHECK(parts[1].changes_begin_ == at_offset(21));
+    CHECK(parts[1].changes_end_ == at_offset(40));
     REQUIRE(parts[1].changes_.size() == 1);
     CHECK(parts[1].server_list_age_ == milliseconds{20});
 }
@@ -87,31 +89,31 @@
 {
     log_update update;
     update.server_list_age_ = milliseconds{20};
-    update.changes_begin_ = log_offset{5};
-    update.changes_end_ = log_offset{40};
-    update.unread_ = unread_offsets{log_offset{20}, log_offset{35}};
+    update.changes_begin_ = at_offset(5);
+    update.changes_end_ = at_offset(40);
+    update.unread_ = unread_span{at_offset(20), at_offset(35)};
     for (const std::uint64_t at : {10U, 20U, 30U, 36U})
     {
         server_list_change change;
-        change.at_ = log_offset{at};
+        change.at_ = at_offset(at);
         update.changes_.push_back(change);
     }
-    CHECK(can_follow(update, log_offset{20}));
-    CHECK_FALSE(can_follow(update, log_offset{21}));
-    CHECK_FALSE(can_follow(update, log_offset{34}));
-    CHECK(can_follow(update, log_offset{35}));
+    CHECK(can_follow(update, at_offset(20)));
+    CHECK_FALSE(can_follow(update, at_offset(21)));
+    CHECK_FALSE(can_follow(update, at_offset(34)));
+    CHECK(can_follow(update, at_offset(35)));
     const auto parts = split_log_update(update, 2);
     REQUIRE(parts.size() == 3);
-    CHECK(parts[0].changes_end_ == log_offset{11});
+    CHECK(parts[0].changes_end_ == at_offset(11));
     CHECK_FALSE(parts[0].unread_);
     CHECK(parts[1].changes_.size() == 2);
-    CHECK(parts[1].changes_end_ == log_offset{35});
+    CHECK(parts[1].changes_end_ == at_offset(35));
     REQUIRE(parts[1].unread_);
-    CHECK(parts[2].changes_begin_ == log_offset{35});
+    CHECK(parts[2].changes_begin_ == at_offset(35));
     CHECK_FALSE(parts[2].unread_);
     const auto without_difference = split_log_update(update, 1);
     REQUIRE(without_difference.size() == 1);
-    CHECK(without_difference[0].changes_begin_ == log_offset{35});
+    CHECK(without_difference[0].changes_begin_ == at_offset(35));
     CHECK(without_difference[0].changes_.size() == 1);
 }
 
@@ -121,13 +123,13 @@
     vm_peers peers;
     fleet_load load;
     auto report = make_report("a", true);
-    report.log_update_.server_list_end_ = log_offset{7};
+    report.log_update_.server_list_end_ = at_offset(7);
     apply_report(peers, load, report, start);
     report = make_report("b", true);
     apply_report(peers, load, report, start);
-    CHECK(oldest_missing_offset(peers, log_offset{9}, silence_limit, start) == log_offset{7});
-    CHECK(oldest_missing_offset(peers, log_offset{6}, silence_limit, start) == log_offset{6});
-    CHECK(oldest_missing_offset(peers, log_offset{9}, silence_limit, start + silence_limit) == log_offset{9});
+    CHECK(oldest_missing_position(peers, at_offset(9), silence_limit, start) == at_offset(7));
+    CHECK(oldest_missing_position(peers, at_offset(6), silence_limit, start) == at_offset(6));
+    CHECK(oldest_missing_position(peers, at_offset(9), silence_limit, start + silence_limit) == at_offset(9));
 }
 
 TEST_CASE("a report with only a log update keeps the work reported before, and a duplicate is ignored")
@@ -176,3 +178,31 @@
         CHECK(max_failed_read_delay(1, reader_limit, bound) <= reader_limit);
     }
 }
+
+// Guards against reports of a VM of a former release, which reads no eras, that nobody can follow.
+TEST_CASE("an update without an era gets the era that is assumed, and loses its positions when the era is open")
+{
+    log_update update;
+    update.log_reachable_ = true;
+    update.server_list_age_ = milliseconds{5};
+    update.server_list_end_ = at_offset(9);
+    update.changes_begin_ = at_offset(4);
+    update.changes_end_ = at_offset(9);
+    update.changes_.resize(1);
+    update.changes_[0].at_ = at_offset(8);
+    update.evacuations_ = evacuation_snapshot{at_offset(5), {{data_centre_id{"a"}, at_offset(4), true}}};
+    auto of_unknown_era = update;
+    drop_positions(of_unknown_era);
+    CHECK(of_unknown_era.log_reachable_);
+    CHECK_FALSE(of_unknown_era.server_list_age_);
+    CHECK(of_unknown_era.changes_.empty());
+    CHECK(of_unknown_era.server_list_end_ == log_position{});
+    const log_era era{6};
+    assume_era(update, era);
+    CHECK(update.server_list_end_ == at_offset(9, era));
+    CHECK(update.changes_begin_ == at_offset(4, era));
+    CHECK(update.changes_end_ == at_offset(9, era));
+    CHECK(update.changes_[0].at_ == at_offset(8, era));
+    CHECK(update.evacuations_->end_ == at_offset(5, era));
+    CHECK(update.evacuations_->entries_[0].position_ == at_offset(4, era));
+}
--- a/tests/decisions/organisation_shares_test.cpp
+++ b/tests/decisions/organisation_shares_test.cpp
@@ -3,8 +3,10 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/decisions.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 
 namespace
 {
@@ -31,7 +33,7 @@
             listed_server entry;
             entry.id_ = server_id{"i-" + std::to_string(index)};
             entry.service_ = service_id{"s"};
-            upsert_listed_server(directory_, entry, log_offset{1}, now);
+            upsert_listed_server(directory_, entry, at_offset(1), now);
         }
         servers_ = ready_servers(directory_, service_id{"s"}, now);
     }
--- a/tests/decisions/server_limits_test.cpp
+++ b/tests/decisions/server_limits_test.cpp
@@ -1,8 +1,10 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/decisions.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 
 namespace
 {
@@ -30,7 +32,7 @@
         server.id_ = server_id{"server-" + std::to_string(index)};
         server.service_ = service_id{"s"};
         server.started_at_ms_ = lifetime;
-        upsert_listed_server(directory, server, log_offset{static_cast<std::uint64_t>(index)}, start);
+        upsert_listed_server(directory, server, at_offset(static_cast<std::uint64_t>(index)), start);
     }
     return directory;
 }
@@ -67,7 +69,7 @@
     CHECK_FALSE(is_within_limit(directory, server, at(10)));
     auto entry = server.listed_;
     entry.started_at_ms_ = lifetime + 1;
-    upsert_listed_server(directory, entry, log_offset{9}, at(20));
+    upsert_listed_server(directory, entry, at_offset(9), at(20));
     CHECK(is_within_limit(directory, directory.servers_.at(limited), at(30)));
 }
 
--- a/tests/decisions/server_loss_test.cpp
+++ b/tests/decisions/server_loss_test.cpp
@@ -1,8 +1,10 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/decisions.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 
 namespace
 {
@@ -24,7 +26,7 @@
     std::uint64_t offset = 0;
     for (const auto& server : servers)
     {
-        upsert_listed_server(directory, server, log_offset{++offset}, start);
+        upsert_listed_server(directory, server, at_offset(++offset), start);
     }
     return directory;
 }
--- a/tests/gateway/endless_answers_test.cpp
+++ b/tests/gateway/endless_answers_test.cpp
@@ -4,6 +4,7 @@
 
 #include "cornelstall/gateway/connection/status_listener.hpp"
 #include "gateway/gateway_fixture.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -255,7 +256,7 @@
     entry.service_ = service_id{"s"};
     entry.address_ = socket_address{server->address()};
     entry.slots_ = 2 * connections;
-    upsert_listed_server(gateway.state_.directory_, entry, log_offset{10}, std::chrono::steady_clock::now());
+    upsert_listed_server(gateway.state_.directory_, entry, at_offset(10), std::chrono::steady_clock::now());
     const auto before = resident_bytes();
     std::size_t peak = before;
     std::vector<std::unique_ptr<tcp::socket>> callers;
--- a/tests/gateway/evacuation_test.cpp
+++ b/tests/gateway/evacuation_test.cpp
@@ -2,6 +2,7 @@
 
 #include "cornelstall/wire.hpp"
 #include "gateway/placed_requests.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -34,7 +35,7 @@
 
 void evacuate(gateway_fixture& gateway, const data_centre_id& data_centre, std::uint64_t offset, bool evacuated = true)
 {
-    apply_evacuation_record(gateway.state_, {data_centre, log_offset{offset}, evacuated});
+    apply_evacuation_record(gateway.state_, {data_centre, at_offset(offset), evacuated});
 }
 
 bool contains(const std::string& text, const std::string& part)
@@ -384,7 +385,7 @@
     sender.activate_route(route_of(request_kind::idempotent));
     receiver.activate_route(route_of(request_kind::idempotent));
     evacuate(sender, here, 4);
-    confirm_evacuations(sender.state_.directory_.evacuations_, log_offset{5});
+    confirm_evacuations(sender.state_.directory_.evacuations_, at_offset(5));
     confirm_table_read(sender.state_, boot_time());
     load_report report;
     report.vm_ = vm_id{"vm-1"};
@@ -402,5 +403,5 @@
     apply_log_update(state, received->log_update_, state.table_->version_, vm_id{"vm-1"});
     CHECK_FALSE(is_read_due(state, state.evacuations_confirmed_at_));
     CHECK(is_evacuated(state.directory_.evacuations_, here));
-    CHECK(state.directory_.evacuations_.known_end_ == log_offset{5});
+    CHECK(state.directory_.evacuations_.known_end_ == at_offset(5));
 }
--- a/tests/gateway/fake_topic.hpp
+++ b/tests/gateway/fake_topic.hpp
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "cornelstall/gateway.hpp"
+#include "log_positions.hpp"
 
 namespace cornelstall::tests
 {
@@ -15,7 +16,7 @@
     log.read_newest_ = [&topic]() {
         return Topic::read_newest(&topic);
     };
-    log.read_from_ = [&topic](log_offset from, milliseconds wait) {
+    log.read_from_ = [&topic](log_position from, milliseconds wait) {
         return Topic::read_from(&topic, from, wait);
     };
     return log;
@@ -33,7 +34,7 @@
 
     void add(const std::string& key, const std::string& value)
     {
-        records_.push_back({key, value, value.empty(), log_offset{records_.size()}});
+        records_.push_back({key, value, value.empty(), at_offset(records_.size())});
     }
 
     static task<record_page> read_newest(fake_operator_topic* self)
@@ -52,23 +53,23 @@
                 page.records_.push_back(record);
             }
         }
-        page.next_ = log_offset{self->records_.size()};
+        page.next_ = at_offset(self->records_.size());
         co_await sleep_for(milliseconds{5});
         co_return page;
     }
 
-    static task<record_page> read_from(fake_operator_topic* self, log_offset from, milliseconds wait)
+    static task<record_page> read_from(fake_operator_topic* self, log_position from, milliseconds wait)
     {
-        self->lowest_read_ = std::min<std::size_t>(self->lowest_read_, from.get());
+        self->lowest_read_ = std::min<std::size_t>(self->lowest_read_, from.offset().get());
         record_page page;
         page.reached_ = self->reachable_;
-        page.first_ = std::max(from, log_offset{self->first_});
-        page.end_ = log_offset{self->records_.size()};
+        page.first_ = std::max(from, at_offset(self->first_));
+        page.end_ = at_offset(self->records_.size());
         page.next_ = page.first_;
         // One record a page, so that a read seldom reaches the end of the log.
         if (page.next_ < page.end_)
         {
-            page.records_.push_back(self->records_[page.next_.get()]);
+            page.records_.push_back(self->records_[page.next_.offset().get()]);
             page.next_ = page.next_.next();
             co_await sleep_for(milliseconds{5});
         }
--- a/tests/gateway/follow_servers_test.cpp
+++ b/tests/gateway/follow_servers_test.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/fake_topic.hpp"
 #include "gateway/gateway_fixture.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -33,9 +34,9 @@
 void read_list_of_a(gateway_state& state)
 {
     server_list_change entry;
-    entry.server_ = *decode_entry({"a", "{}", false, log_offset{0}});
+    entry.server_ = *decode_entry({"a", "{}", false, at_offset(0)});
     apply_change(state, entry);
-    confirm_list_read(state, log_offset{1}, boot_time() - milliseconds{300});
+    confirm_list_read(state, at_offset(1), boot_time() - milliseconds{300});
 }
 
 server_list_change removal_of_a()
@@ -43,7 +44,7 @@
     server_list_change removal;
     removal.server_.id_ = server_id{"a"};
     removal.removed_ = true;
-    removal.at_ = log_offset{1};
+    removal.at_ = at_offset(1);
     return removal;
 }
 
@@ -136,14 +137,14 @@
     topic.add("a", "{}");
     follow(gateway, topic);
     auto& list = gateway.state_.server_list_;
-    REQUIRE(gateway.run_until([&list] { return list.next_ == log_offset{1}; }));
+    REQUIRE(gateway.run_until([&list] { return list.next_ == at_offset(1); }));
     topic.add("b", "{}");
     topic.add("c", "{}");
     topic.add("b", "");
     const auto confirmed_before = list.confirmed_at_;
-    REQUIRE(gateway.run_until([&list] { return list.next_ == log_offset{2}; }));
+    REQUIRE(gateway.run_until([&list] { return list.next_ == at_offset(2); }));
     CHECK(list.confirmed_at_ == confirmed_before);
-    REQUIRE(gateway.run_until([&list] { return list.next_ == log_offset{4}; }));
+    REQUIRE(gateway.run_until([&list] { return list.next_ == at_offset(4); }));
     CHECK(list.confirmed_at_ > confirmed_before);
     CHECK(gateway.run_until([&gateway] { return !knows(gateway, "b"); }));
 }
--- a/tests/gateway/follow_table_test.cpp
+++ b/tests/gateway/follow_table_test.cpp
@@ -3,6 +3,7 @@
 #include "cornelstall/wire.hpp"
 #include "gateway/fake_topic.hpp"
 #include "gateway/gateway_fixture.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -13,7 +14,7 @@
 /// A configuration log that counts its reads and holds one record.
 struct fake_configuration_topic
 {
-    keyed_record record_{"config", "1", false, log_offset{0}};
+    keyed_record record_{"config", "1", false, at_offset(0)};
     bool reachable_ = true;
     int reads_ = 0;
 
@@ -23,20 +24,20 @@
         record_page page;
         page.reached_ = self->reachable_;
         page.records_ = {self->record_};
-        page.next_ = self->record_.offset_.next();
+        page.next_ = self->record_.position_.next();
         co_return page;
     }
 
-    static task<record_page> read_from(fake_configuration_topic* self, log_offset from, milliseconds wait)
+    static task<record_page> read_from(fake_configuration_topic* self, log_position from, milliseconds wait)
     {
         ++self->reads_;
         record_page page;
         page.reached_ = self->reachable_;
         page.next_ = from;
-        if (self->record_.offset_ >= from)
+        if (self->record_.position_ >= from)
         {
             page.records_ = {self->record_};
-            page.next_ = self->record_.offset_.next();
+            page.next_ = self->record_.position_.next();
         }
         else
         {
@@ -84,7 +85,7 @@
     const auto peer_server = gateway.add_server([](const auto& message) {
         CHECK(message.target() == configuration_path);
         return scripted_response{
-            response_with(encode_document({configuration_version{2}, log_offset{1}, "config", "2"})), false};
+            response_with(encode_document({configuration_version{2}, at_offset(1), "config", "2"})), false};
     });
     spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, open(topic), decode_version));
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_ != nullptr; }));
@@ -103,7 +104,7 @@
     const auto peer_server = gateway.add_server([answer](const auto&) { return scripted_response{answer, false}; });
     spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, open(topic), decode_version));
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_ != nullptr; }));
-    topic.record_ = {"config", "2", false, log_offset{1}};
+    topic.record_ = {"config", "2", false, at_offset(1)};
     add_ahead_peers(gateway, *peer_server, configuration_version{2});
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_->version_ == configuration_version{2}; }));
     CHECK(peer_server->received_requests_.size() == 4);
@@ -137,7 +138,7 @@
     fake_configuration_topic topic;
     const auto peer_server = gateway.add_server([](const auto&) {
         return scripted_response{
-            response_with(encode_document({configuration_version{2}, log_offset{1}, "config", "2"})), false};
+            response_with(encode_document({configuration_version{2}, at_offset(1), "config", "2"})), false};
     });
     spawn(gateway.state_.executor_, "follow_table", follow_table(gateway.state_, open(topic), decode_version));
     REQUIRE(gateway.run_until([&gateway] { return gateway.state_.table_ != nullptr; }));
@@ -242,7 +243,7 @@
     topic.add("config", "1");
     const auto peer_server = gateway.add_server([](const auto&) {
         return scripted_response{
-            response_with(encode_document({configuration_version{2}, log_offset{2}, "config", "2"})), false};
+            response_with(encode_document({configuration_version{2}, at_offset(2), "config", "2"})), false};
     });
     add_ahead_peers(gateway, *peer_server, configuration_version{1});
     follow(gateway, topic);
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/read.hpp>
 
 #include "gateway/fake_server.hpp"
+#include "log_positions.hpp"
 
 namespace cornelstall::tests
 {
@@ -165,7 +166,7 @@
         entry.service_ = service_id{"s"};
         entry.address_ = socket_address{server->address()};
         entry.slots_ = 4;
-        upsert_listed_server(state_.directory_, entry, log_offset{servers_.size()}, std::chrono::steady_clock::now());
+        upsert_listed_server(state_.directory_, entry, at_offset(servers_.size()), std::chrono::steady_clock::now());
         servers_.push_back(server);
         return server;
     }
--- a/tests/gateway/joint_prefill_fixture.hpp
+++ b/tests/gateway/joint_prefill_fixture.hpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include "gateway/placed_requests.hpp"
+#include "log_positions.hpp"
 
 namespace cornelstall::tests
 {
@@ -64,7 +65,7 @@
 
 inline void set_start_times(gateway_fixture& gateway)
 {
-    gateway.state_.server_list_.next_ = log_offset{gateway.servers_.size()};
+    gateway.state_.server_list_.next_ = at_offset(gateway.servers_.size());
     const auto entries = gateway.state_.directory_.servers_;
     std::ranges::for_each(entries, [&gateway](const auto& entry) {
         auto listed = entry.second.listed_;
--- a/tests/gateway/late_reports_test.cpp
+++ b/tests/gateway/late_reports_test.cpp
@@ -5,6 +5,7 @@
 #include "cornelstall/gateway/connection/load_exchange.hpp"
 #include "cornelstall/gateway/process/follow_servers.hpp"
 #include "gateway/gateway_fixture.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -12,7 +13,7 @@
 namespace
 {
 
-constexpr log_offset list_end{5};
+constexpr log_position list_end = at_offset(5);
 
 /// A gateway that exchanges load reports with others on the loopback interface.
 class reporting_gateway : public gateway_fixture
@@ -98,7 +99,7 @@
         page.reached_ = true;
         co_return page;
     };
-    log.read_from_ = [&reads](log_offset from, milliseconds) -> task<record_page> {
+    log.read_from_ = [&reads](log_position from, milliseconds) -> task<record_page> {
         reads.push_back(std::chrono::steady_clock::now());
         record_page page;
         page.reached_ = reads.size() > 1;
--- a/tests/gateway/list_histories_test.cpp
+++ b/tests/gateway/list_histories_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "gateway/gateway_fixture.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -24,9 +25,9 @@
     std::vector<server_list_change> records_;
     std::size_t first_ = 0;
 
-    [[nodiscard]] log_offset end() const
+    [[nodiscard]] log_position end() const
     {
-        return log_offset{records_.size()};
+        return at_offset(records_.size());
     }
 
     /// The last record of @a id before @a end, or null.
@@ -52,8 +53,8 @@
 {
     bool full_ = false;
     std::vector<server_list_change> records_;  ///< of a full read, the first page
-    log_offset next_;
-    log_offset known_before_;  ///< end of the known list when it was requested
+    log_position next_;
+    log_position known_before_;  ///< end of the known list when it was requested
 };
 
 struct model_vm
@@ -178,7 +179,7 @@
             return;
         }
         auto& list = vm.gateway_->state_.server_list_;
-        vm.needs_full_read_ = vm.needs_full_read_ || list.next_.get() < log_.first_;
+        vm.needs_full_read_ = vm.needs_full_read_ || list.next_.offset().get() < log_.first_;
         pending_read request{vm.needs_full_read_, {}, log_.end(), list.next_};
         if (request.full_)
         {
@@ -186,7 +187,7 @@
         }
         else
         {
-            request.records_.assign(log_.records_.begin() + static_cast<std::ptrdiff_t>(list.next_.get()),
+            request.records_.assign(log_.records_.begin() + static_cast<std::ptrdiff_t>(list.next_.offset().get()),
                                     log_.records_.end());
         }
         vm.read_ = std::move(request);
@@ -270,7 +271,7 @@
     [[nodiscard]] bool is_exact(const model_vm& vm) const
     {
         const auto& state = vm.gateway_->state_;
-        const auto end = state.server_list_.next_.get();
+        const auto end = state.server_list_.next_.offset().get();
         return !state.server_list_.listed_ || std::ranges::all_of(std::views::iota(0, server_count), [&](int number) {
             const auto id = name_of_server(number);
             const auto* const known = log_.newest(id, end);
--- a/tests/gateway/server_list_test.cpp
+++ b/tests/gateway/server_list_test.cpp
@@ -2,6 +2,7 @@
 
 #include "cornelstall/wire.hpp"
 #include "gateway/gateway_fixture.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -12,7 +13,7 @@
 server_list_change make_change(const std::string& id, std::uint64_t offset, server_state state, bool removed = false)
 {
     server_list_change change;
-    change.at_ = log_offset{offset};
+    change.at_ = at_offset(offset);
     change.removed_ = removed;
     change.server_.id_ = server_id{id};
     change.server_.service_ = service_id{"s"};
@@ -41,8 +42,8 @@
     log_update update;
     update.log_reachable_ = true;
     update.server_list_age_ = milliseconds{100};
-    update.changes_begin_ = log_offset{begin};
-    update.changes_end_ = log_offset{end};
+    update.changes_begin_ = at_offset(begin);
+    update.changes_end_ = at_offset(end);
     update.changes_ = std::move(changes);
     return update;
 }
@@ -54,16 +55,16 @@
     // If the end of an update that starts later were adopted, the changes in the gap would be lost.
     gateway_fixture gateway;
     auto& state = gateway.state_;
-    state.server_list_.next_ = log_offset{10};
+    state.server_list_.next_ = at_offset(10);
     apply_log_update(state, make_update(12, 20, {make_change("a", 15, server_state::ready)}), {});
     CHECK(state.directory_.servers_.empty());
-    CHECK(state.server_list_.next_ == log_offset{10});
+    CHECK(state.server_list_.next_ == at_offset(10));
     CHECK(is_read_due(state, state.server_list_.confirmed_at_));
     apply_log_update(
         state,
         make_update(8, 20, {make_change("a", 9, server_state::ready), make_change("b", 15, server_state::ready)}), {});
     CHECK(state.directory_.servers_.size() == 1);
-    CHECK(state.server_list_.next_ == log_offset{20});
+    CHECK(state.server_list_.next_ == at_offset(20));
     CHECK_FALSE(is_read_due(state, state.server_list_.confirmed_at_));
     apply_log_update(state, make_update(20, 25, {make_change("b", 22, server_state::draining)}), {});
     CHECK(ready_servers(state.directory_, service_id{"s"}, std::chrono::steady_clock::now()).empty());
@@ -95,18 +96,18 @@
         {
             apply_change(*state, make_change("a" + std::to_string(index), index, server_state::ready));
         }
-        confirm_list(*state, log_offset{server_count}, boot_time());
+        confirm_list(*state, at_offset(server_count), boot_time());
     }
     auto& sender_state = sender.state_;
     auto& lagging_vm = sender_state.peers_.peers_[vm_id{"vm-2"}];
     lagging_vm.heard_at_ = std::chrono::steady_clock::now();
-    lagging_vm.server_list_end_ = log_offset{server_count};
+    lagging_vm.server_list_end_ = at_offset(server_count);
     for (std::uint64_t index = 0; index < server_count; ++index)
     {
         apply_change(sender_state,
                      make_change("a" + std::to_string(index), server_count + index, server_state::draining));
     }
-    confirm_list_read(sender_state, log_offset{2 * server_count}, boot_time());
+    confirm_list_read(sender_state, at_offset(2 * server_count), boot_time());
     for (const auto& part : split_log_update(make_log_update(sender_state), 12))
     {
         load_report report;
@@ -127,16 +128,16 @@
     state.server_list_.read_at_ = boot_time();
     auto& lagging_vm = state.peers_.peers_[vm_id{"vm-2"}];
     lagging_vm.heard_at_ = std::chrono::steady_clock::now();
-    lagging_vm.server_list_end_ = log_offset{1};
+    lagging_vm.server_list_end_ = at_offset(1);
     for (std::uint64_t index = 0; index < 1000; ++index)
     {
         apply_change(state, make_change("a" + std::to_string(index), index, server_state::ready));
     }
-    confirm_list(state, log_offset{1000}, boot_time());
+    confirm_list(state, at_offset(1000), boot_time());
     const auto update = make_log_update(state);
     CHECK(update.changes_.size() <= 100);
     CHECK(update.changes_begin_ == update.changes_.front().at_);
-    CHECK(update.changes_end_ == log_offset{1000});
+    CHECK(update.changes_end_ == at_offset(1000));
 }
 
 TEST_CASE("the differences after a new read of the full server list are sent as changes")
@@ -145,14 +146,14 @@
     auto& state = gateway.state_;
     apply_change(state, make_change("a", 1, server_state::ready));
     apply_change(state, make_change("b", 2, server_state::ready));
-    confirm_list_read(state, log_offset{3}, boot_time());
+    confirm_list_read(state, at_offset(3), boot_time());
     auto& lagging_vm = state.peers_.peers_[vm_id{"vm-2"}];
     lagging_vm.heard_at_ = std::chrono::steady_clock::now();
-    lagging_vm.server_list_end_ = log_offset{3};
-    apply_full_list(state, {make_change("a", 8, server_state::draining)}, {server_id{"a"}}, log_offset{10});
-    confirm_list(state, log_offset{10}, boot_time());
+    lagging_vm.server_list_end_ = at_offset(3);
+    apply_full_list(state, {make_change("a", 8, server_state::draining)}, {server_id{"a"}}, at_offset(10));
+    confirm_list(state, at_offset(10), boot_time());
     const auto update = make_log_update(state);
-    CHECK(update.changes_begin_ == log_offset{3});
+    CHECK(update.changes_begin_ == at_offset(3));
     REQUIRE(update.changes_.size() == 2);
     CHECK(update.changes_[1].removed_);
     CHECK(update.changes_[1].server_.id_ == server_id{"b"});
@@ -170,18 +171,18 @@
     for (auto* const state : {&reader.state_, &follower.state_})
     {
         apply_change(*state, make_change("a", 1, server_state::ready));
-        confirm_list_read(*state, log_offset{2}, boot_time());
+        confirm_list_read(*state, at_offset(2), boot_time());
     }
     apply_change(follower.state_, make_change("b", 2, server_state::ready));
-    confirm_list_read(follower.state_, log_offset{3}, boot_time());
+    confirm_list_read(follower.state_, at_offset(3), boot_time());
     // The reader stood still meanwhile, and the log has forgotten the records 2 (b is added) and 3 (b is removed).
-    apply_full_list(reader.state_, {make_change("a", 1, server_state::ready)}, {server_id{"a"}}, log_offset{4});
-    confirm_list_read(reader.state_, log_offset{4}, boot_time());
+    apply_full_list(reader.state_, {make_change("a", 1, server_state::ready)}, {server_id{"a"}}, at_offset(4));
+    confirm_list_read(reader.state_, at_offset(4), boot_time());
     auto& lagging_vm = reader.state_.peers_.peers_[vm_id{"vm-2"}];
     lagging_vm.heard_at_ = std::chrono::steady_clock::now();
-    lagging_vm.server_list_end_ = log_offset{2};
+    lagging_vm.server_list_end_ = at_offset(2);
     apply_log_update(follower.state_, make_log_update(reader.state_), {});
-    CHECK(follower.state_.server_list_.next_ == log_offset{3});
+    CHECK(follower.state_.server_list_.next_ == at_offset(3));
     apply_change(follower.state_, make_change("b", 3, server_state::ready, true));
     CHECK(follower.state_.directory_.servers_.size() == 1);
 }
@@ -192,18 +193,18 @@
     auto& state = gateway.state_;
     auto& lagging_vm = state.peers_.peers_[vm_id{"vm-2"}];
     lagging_vm.heard_at_ = std::chrono::steady_clock::now();
-    lagging_vm.server_list_end_ = log_offset{1};
+    lagging_vm.server_list_end_ = at_offset(1);
     state.server_list_reachable_ = true;
     state.server_list_.read_at_ = boot_time();
     apply_change(state, make_change("a", 3, server_state::ready));
-    confirm_list(state, log_offset{4}, boot_time());
+    confirm_list(state, at_offset(4), boot_time());
     auto update = make_log_update(state);
     REQUIRE(update.changes_.size() == 1);
-    CHECK(update.changes_end_ == log_offset{4});
+    CHECK(update.changes_end_ == at_offset(4));
     state.server_list_.changes_.front().seen_at_ -= std::chrono::seconds{40};
     update = make_log_update(state);
     CHECK(update.changes_.empty());
-    CHECK(update.changes_begin_ == log_offset{4});
+    CHECK(update.changes_begin_ == at_offset(4));
     state.server_list_.read_at_ -= std::chrono::seconds{10};
     CHECK_FALSE(make_log_update(state).server_list_age_);
 }
@@ -223,7 +224,7 @@
     apply_change(state, make_change("c", 6, server_state::ready, true));
     CHECK(state.directory_.servers_.size() == 2);
     apply_change(state, make_change("a", 7, server_state::ready));
-    confirm_list(state, log_offset{8}, boot_time());
+    confirm_list(state, at_offset(8), boot_time());
     end_grace_period(state);
     apply_deferred_removals(state);
     CHECK(state.directory_.servers_.contains(server_id{"a"}));
@@ -238,7 +239,7 @@
     return_after_outage(state);
     apply_change(state, make_change("a", 5, server_state::ready, true));
     apply_change(state, make_change("a", 3, server_state::ready));
-    confirm_list(state, log_offset{6}, boot_time());
+    confirm_list(state, at_offset(6), boot_time());
     end_grace_period(state);
     apply_deferred_removals(state);
     CHECK(state.directory_.servers_.empty());
@@ -269,20 +270,20 @@
     {
         apply_change(*state, make_change("a", 1, server_state::ready));
         apply_change(*state, make_change("b", 2, server_state::ready));
-        confirm_list_read(*state, log_offset{3}, outage_begin);
+        confirm_list_read(*state, at_offset(3), outage_begin);
     }
     auto& lagging_vm = reader.state_.peers_.peers_[vm_id{"vm-2"}];
     lagging_vm.heard_at_ = std::chrono::steady_clock::now();
-    lagging_vm.server_list_end_ = log_offset{3};
+    lagging_vm.server_list_end_ = at_offset(3);
     record_list_read(reader.state_, boot_time());
     apply_change(reader.state_, make_change("a", 3, server_state::ready, true));
     apply_change(reader.state_, make_change("b", 4, server_state::ready, true));
-    confirm_list_read(reader.state_, log_offset{5}, boot_time());
+    confirm_list_read(reader.state_, at_offset(5), boot_time());
     apply_log_update(other.state_, make_log_update(reader.state_), {});
     CHECK(other.state_.directory_.servers_.size() == 2);
     apply_change(reader.state_, make_change("a", 5, server_state::ready));
-    confirm_list_read(reader.state_, log_offset{6}, boot_time());
-    lagging_vm.server_list_end_ = log_offset{5};
+    confirm_list_read(reader.state_, at_offset(6), boot_time());
+    lagging_vm.server_list_end_ = at_offset(5);
     apply_log_update(other.state_, make_log_update(reader.state_), {});
     for (auto* const state : {&reader.state_, &other.state_})
     {
@@ -321,7 +322,7 @@
     state.server_list_.listed_ = true;
     const auto read_at = boot_time() - milliseconds{1500};
     confirm_table_read(state, read_at);
-    confirm_list_read(state, log_offset{5}, read_at);
+    confirm_list_read(state, at_offset(5), read_at);
     log_update update = make_update(5, 5, {});
     update.routing_table_age_ = milliseconds{10};
     update.server_list_age_ = milliseconds{10};
@@ -338,12 +339,12 @@
 {
     gateway_fixture gateway;
     auto& state = gateway.state_;
-    state.server_list_.next_ = log_offset{10};
+    state.server_list_.next_ = at_offset(10);
     auto no_port = make_change("a", 11, server_state::ready);
     no_port.server_.address_ = socket_address{"127.0.0.1:0"};
     auto no_slots = make_change("b", 12, server_state::ready);
     no_slots.server_.slots_ = 0;
     apply_log_update(state, make_update(10, 20, {no_port, no_slots, make_change("c", 13, server_state::ready)}), {});
     CHECK(state.directory_.servers_.size() == 1);
-    CHECK(state.server_list_.next_ == log_offset{20});
+    CHECK(state.server_list_.next_ == at_offset(20));
 }
--- a/tests/gateway/server_notices_test.cpp
+++ b/tests/gateway/server_notices_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "gateway/placed_requests.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -62,14 +63,14 @@
     auto& directory = gateway.state_.directory_;
     const auto now = std::chrono::steady_clock::now();
     auto entry = listed(gateway, "server-0");
-    upsert_listed_server(directory, entry, log_offset{10}, now);
+    upsert_listed_server(directory, entry, at_offset(10), now);
     CHECK(ready_servers(directory, service_id{"s"}, now).empty());
-    remove_listed_server(directory, entry.id_, log_offset{11});
-    upsert_listed_server(directory, entry, log_offset{12}, now);
+    remove_listed_server(directory, entry.id_, at_offset(11));
+    upsert_listed_server(directory, entry, at_offset(12), now);
     CHECK(ready_servers(directory, service_id{"s"}, now).empty());
     // A new lifetime under the same id has announced nothing.
     entry.started_at_ms_ = 1;
-    upsert_listed_server(directory, entry, log_offset{13}, now);
+    upsert_listed_server(directory, entry, at_offset(13), now);
     CHECK(ready_servers(directory, service_id{"s"}, now).size() == 1);
 }
 
@@ -85,7 +86,7 @@
     CHECK(recently_leaving(gateway.state_.directory_, milliseconds{10000}, std::chrono::steady_clock::now()).empty());
     auto entry = listed(gateway, "server-0");
     entry.started_at_ms_ = 1;
-    upsert_listed_server(gateway.state_.directory_, entry, log_offset{10}, std::chrono::steady_clock::now());
+    upsert_listed_server(gateway.state_.directory_, entry, at_offset(10), std::chrono::steady_clock::now());
     apply_reported_leaving(gateway.state_, vm_id{"vm-2"}, {{server_id{"server-0"}, 0, milliseconds{80}}});
     CHECK(contains(gateway.send_raw_request(request_text("GET")), "200 OK"));
 }
--- a/tests/gateway/stop_fixture.hpp
+++ b/tests/gateway/stop_fixture.hpp
@@ -6,6 +6,7 @@
 
 #include "free_port.hpp"
 #include "gateway/gateway_fixture.hpp"
+#include "log_positions.hpp"
 
 namespace cornelstall::tests
 {
@@ -38,7 +39,7 @@
     entry.service_ = service_id{"s"};
     entry.address_ = socket_address{server->address()};
     entry.slots_ = 1000;
-    upsert_listed_server(state.directory_, entry, log_offset{1}, std::chrono::steady_clock::now());
+    upsert_listed_server(state.directory_, entry, at_offset(1), std::chrono::steady_clock::now());
     state.server_list_.listed_ = true;
     state.directory_.evacuations_.known_ = true;
     servers.push_back(server);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -3,8 +3,10 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/platform.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 
 namespace
 {
@@ -90,17 +92,34 @@
 TEST_CASE("records are decoded with their offsets, and an empty value removes the key")
 {
     const auto bytes = encode_offset(12) + encode_offset(3) + encode_record("a", "1") + encode_record("b", "");
-    const auto page = platform::decode_records(bytes, log_offset{10});
+    const auto page = platform::decode_records(bytes, record_offset{10});
     REQUIRE(page.reached_);
     REQUIRE(page.records_.size() == 2);
     CHECK(page.records_[0].key_ == "a");
     CHECK(page.records_[0].value_ == "1");
-    CHECK(page.records_[0].offset_ == log_offset{10});
+    CHECK(page.records_[0].position_ == at_offset(10));
     CHECK(page.records_[1].removed_);
-    CHECK(page.next_ == log_offset{12});
-    CHECK_FALSE(platform::decode_records("short", log_offset{0}).reached_);
+    CHECK(page.next_ == at_offset(12));
+    CHECK_FALSE(platform::decode_records("short", record_offset{0}).reached_);
     // The next read starts with a record that was truncated.
-    CHECK(platform::decode_records(bytes.substr(0, bytes.size() - 1), log_offset{10}).next_ == log_offset{11});
+    CHECK(platform::decode_records(bytes.substr(0, bytes.size() - 1), record_offset{10}).next_ == at_offset(11));
+}
+
+// Guards against records after a return of the store from a copy that count as older than those before it.
+TEST_CASE("records are of the era that the store states, and an odd era is none")
+{
+    const auto bytes = encode_offset(12) + encode_offset(3) + encode_record("a", "1");
+    const auto page = platform::decode_records(bytes, record_offset{10}, log_era{7});
+    CHECK(page.era_ == log_era{7});
+    REQUIRE(page.records_.size() == 1);
+    CHECK(page.records_[0].position_ == at_offset(10, log_era{7}));
+    CHECK(page.next_ == at_offset(11, log_era{7}));
+    CHECK(page.end_ == at_offset(12, log_era{7}));
+    CHECK(platform::decode_store_era("7") == log_era{7});
+    CHECK(platform::decode_store_era("0") == log_era{0});
+    const auto odd =
+        GENERATE(as<std::string>{}, "", " 7", "7 ", "+7", "-1", "7.0", "x", "1000000001", "99999999999999999999999");
+    CHECK_FALSE(platform::decode_store_era(odd));
 }
 
 TEST_CASE("the key of an evacuation names the data centre, and odd names name none")
@@ -123,11 +142,11 @@
 TEST_CASE("a read of changes states which part of the log it shows")
 {
     const auto bytes = encode_offset(12) + encode_offset(9) + encode_record("a", "1");
-    const auto page = platform::decode_records(bytes, log_offset{4});
-    CHECK(page.first_ == log_offset{9});
-    CHECK(page.next_ == log_offset{10});
-    CHECK(page.end_ == log_offset{12});
-    CHECK(platform::decode_records(bytes, log_offset{11}).first_ == log_offset{11});
+    const auto page = platform::decode_records(bytes, record_offset{4});
+    CHECK(page.first_ == at_offset(9));
+    CHECK(page.next_ == at_offset(10));
+    CHECK(page.end_ == at_offset(12));
+    CHECK(platform::decode_records(bytes, record_offset{11}).first_ == at_offset(11));
 }
 
 // Without the replacement a caller could send requests in the name of another tenant, or name engines as helpers.
--- a/tests/platform/endless_store_answers_test.cpp
+++ b/tests/platform/endless_store_answers_test.cpp
@@ -2,6 +2,7 @@
 
 #include "cornelstall/platform.hpp"
 #include "gateway/gateway_fixture.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
 using namespace cornelstall::tests;
@@ -99,6 +100,32 @@
     CHECK(page->complete_ == !ends_early);
 }
 
+// Guards against a list that is half from before and half from after a return of the store from a copy.
+TEST_CASE("a read of the newest records fails when the store comes back from a copy between its pages")
+{
+    gateway_fixture gateway;
+    const bool returns = GENERATE(true, false);
+    const auto store = gateway.add_server([returns](const auto& message) {
+        const bool first = message.target().find("after") == std::string::npos;
+        const auto body = first ? newest_page(1, "AAAA") : R"({"end":9,"has_more":false,"items":[]})";
+        const std::string era = !first && returns ? "4" : "3";
+        return scripted_response{"HTTP/1.1 200 OK\r\nStore-Era: " + era +
+                                     "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+                                 false};
+    });
+    const auto log = platform::open_topic(gateway.state_.executor_, store->address(), "servers");
+    std::optional<record_page> page;
+    const auto read = [](record_log from, std::optional<record_page>& result) -> task<> {
+        auto received = co_await from.read_newest_();
+        result = std::move(received);
+    };
+    spawn(gateway.state_.executor_, "read", read(log, page));
+    REQUIRE(gateway.run_until([&page] { return page.has_value(); }));
+    CHECK(page->reached_ == !returns);
+    CHECK(page->era_ == log_era{returns ? 4U : 3U});
+    CHECK((returns || page->next_ == at_offset(9, log_era{3})));
+}
+
 TEST_CASE("a call to the store ends when its answer does not")
 {
     const std::string filler(65536, 'x');
@@ -115,10 +142,10 @@
     const auto call_all = [](record_log to, int& count) -> task<> {
         const auto newest = co_await to.read_newest_();
         count += newest.reached_ ? 0 : 1;
-        const auto changes = co_await to.read_from_(log_offset{0}, milliseconds{100});
+        const auto changes = co_await to.read_from_(at_offset(0), milliseconds{100});
         count += changes.reached_ ? 0 : 1;
-        const bool appended = co_await to.append_("key", "value");
-        count += appended ? 0 : 1;
+        const auto appended = co_await to.append_("key", "value");
+        count += appended.acknowledged_ ? 0 : 1;
     };
     spawn(gateway.state_.executor_, "call", call_all(log, ended));
     CHECK(gateway.run_until([&ended] { return ended == 3; }));
--- a/tests/wire/load_codec_test.cpp
+++ b/tests/wire/load_codec_test.cpp
@@ -3,8 +3,10 @@
 #include <catch2/catch.hpp>
 
 #include "cornelstall/wire.hpp"
+#include "log_positions.hpp"
 
 using namespace cornelstall;
+using namespace cornelstall::tests;
 
 namespace
 {
@@ -111,12 +113,12 @@
 TEST_CASE("unread offsets and ages of reads of a log update are reported")
 {
     auto written = report_with(1);
-    written.log_update_.unread_ = unread_offsets{log_offset{0}, log_offset{1ULL << 62U}};
+    written.log_update_.unread_ = unread_span{at_offset(0), at_offset(1ULL << 62U)};
     auto report = decode_load_report(encode_load_report(written, byte_count{1400}, now), now);
     REQUIRE(report);
     REQUIRE(report->log_update_.unread_);
-    CHECK(report->log_update_.unread_->begin_ == log_offset{0});
-    CHECK(report->log_update_.unread_->end_ == log_offset{1ULL << 62U});
+    CHECK(report->log_update_.unread_->begin_ == at_offset(0));
+    CHECK(report->log_update_.unread_->end_ == at_offset(1ULL << 62U));
     CHECK_FALSE(report->log_update_.reads_);
     written.log_update_.unread_.reset();
     written.log_update_.reads_ = reported_reads{std::chrono::weeks{9}, milliseconds{0}};
@@ -145,18 +147,18 @@
 {
     auto written = report_with(30);
     CHECK_FALSE(decode_load_report(encode_load_report(written, byte_count{1400}, now), now)->log_update_.evacuations_);
-    written.log_update_.evacuations_ = evacuation_snapshot{log_offset{7}, {}};
+    written.log_update_.evacuations_ = evacuation_snapshot{at_offset(7), {}};
     auto report = decode_load_report(encode_load_report(written, byte_count{1400}, now), now);
     REQUIRE(report);
     REQUIRE(report->log_update_.evacuations_);
-    CHECK(report->log_update_.evacuations_->end_ == log_offset{7});
+    CHECK(report->log_update_.evacuations_->end_ == at_offset(7));
     CHECK(report->log_update_.evacuations_->entries_.empty());
     evacuations known;
     const std::string name(30, 'z');
     constexpr std::uint64_t last_offset = (1ULL << 63U) - 1;
     for (std::uint64_t index = 0; index < 10; ++index)
     {
-        CHECK(apply_evacuation(known, data_centre_id{name + std::to_string(index)}, log_offset{last_offset - index},
+        CHECK(apply_evacuation(known, data_centre_id{name + std::to_string(index)}, at_offset(last_offset - index),
                                true));
     }
     known.known_ = true;
@@ -175,11 +177,47 @@
     REQUIRE(report->log_update_.evacuations_->entries_.size() == 10);
     const auto& first = report->log_update_.evacuations_->entries_.front();
     CHECK(first.data_centre_ == data_centre_id{name + "0"});
-    CHECK(first.offset_ == log_offset{last_offset});
+    CHECK(first.position_ == at_offset(last_offset));
     CHECK(first.evacuated_);
     CHECK_FALSE(report->work_.empty());
 }
 
+// Guards against offsets of an earlier era that a VM takes for those of the present one.
+TEST_CASE("positions in the log are reported with their eras")
+{
+    const log_era era{3};
+    auto written = report_with(0);
+    auto& update = written.log_update_;
+    update.server_list_end_ = at_offset(9, era);
+    update.changes_begin_ = at_offset(4, era);
+    update.changes_end_ = at_offset(9, era);
+    server_list_change removal;
+    removal.server_.id_ = server_id{"i-1"};
+    removal.removed_ = true;
+    removal.at_ = at_offset(8, era);
+    update.changes_ = {removal};
+    update.evacuations_ = evacuation_snapshot{
+        at_offset(5, era),
+        {{data_centre_id{"a"}, at_offset(7, log_era{2}), true}, {data_centre_id{"b"}, at_offset(4, era), false}}};
+    const auto report = decode_load_report(encode_load_report(written, byte_count{1400}, now), now);
+    REQUIRE(report);
+    const auto& read = report->log_update_;
+    CHECK(read.server_list_end_ == update.server_list_end_);
+    CHECK(read.changes_begin_ == update.changes_begin_);
+    CHECK(read.changes_end_ == update.changes_end_);
+    REQUIRE(read.changes_.size() == 1);
+    CHECK(read.changes_[0].at_ == removal.at_);
+    REQUIRE(read.evacuations_);
+    CHECK(read.evacuations_->end_ == at_offset(5, era));
+    REQUIRE(read.evacuations_->entries_.size() == 2);
+    CHECK(read.evacuations_->entries_[0].position_ == at_offset(7, log_era{2}));
+    CHECK(read.evacuations_->entries_[0].evacuated_);
+    CHECK(read.evacuations_->entries_[1].position_ == at_offset(4, era));
+    CHECK_FALSE(read.evacuations_->entries_[1].evacuated_);
+    const configuration_document document{configuration_version{2}, at_offset(6, era), "config", "2"};
+    CHECK(decode_document(encode_document(document))->position_ == document.position_);
+}
+
 TEST_CASE("evidence about prompt parts and limits of servers is reported with ages")
 {
     auto written = report_with(0);
