Read the configurations anew when the log has come back from a copy

Callers with a key that was taken away 0.3 s after a return of the store from an older copy still got answers 19 s after the ack (bound 5 s).

Cause: follow_changes() went on at the offset from before the return. That offset existed again, so the answer was an empty page, and the page confirmed the old table: the revocation stood before it and was never read.

Change: the follower asks of every answer whether it is of the present era. A later era makes it read the newest records; an answer of an earlier one (under way during the return) or without one is a failed read and confirms nothing. A read of the new era confirms the active table although the copy has an older one, so no VM waits for a write that never comes: configurations have versions of their own, and the higher one stays.

--- a/packages/gateway/include/cornelstall/gateway/process/known_era.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/known_era.hpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 
+#include "cornelstall/gateway/process/record_log.hpp"
 #include "cornelstall/value.hpp"
 
 namespace cornelstall
@@ -26,4 +27,8 @@
 /// once the log has stated eras
 [[nodiscard]] bool accept_era(gateway_state& state, const std::optional<log_era>& stated, const std::string& topic);
 
+/// @brief Records the era of a read, also of one that failed with an answer.
+/// @return true when the log has answered the read and the answer can be used
+[[nodiscard]] bool accept_era_of(gateway_state& state, const record_page& page, const std::string& topic);
+
 }  // namespace cornelstall
--- a/packages/gateway/src/process/known_era.cpp
+++ b/packages/gateway/src/process/known_era.cpp
@@ -68,4 +68,11 @@
     return true;
 }
 
+bool accept_era_of(gateway_state& state, const record_page& page, const std::string& topic)
+{
+    // Without an answer there is no header that could be missing.
+    const bool states_nothing = !page.reached_ && !page.era_;
+    return !states_nothing && accept_era(state, page.era_, topic) && page.reached_;
+}
+
 }  // namespace cornelstall
--- a/packages/gateway/src/version/follow_table.cpp
+++ b/packages/gateway/src/version/follow_table.cpp
@@ -134,6 +134,14 @@
               "cannot read the configuration log; keeping the active version and retrying");
 }
 
+/// True when the log has answered and the answer is of its present era.
+bool accept_page(follower& self, const record_page& page)
+{
+    const bool is_usable = accept_era_of(self.state_, page, "configuration");
+    update_reachability(self, is_usable);
+    return is_usable;
+}
+
 void apply_page(follower& self, const record_page& page, std::chrono::nanoseconds requested_at,
                 milliseconds poll_timeout)
 {
@@ -245,20 +253,21 @@
         const auto poll_timeout = long_polls ? log_poll_delay(0, state.settings_.staleness_bound_) : milliseconds{0};
         const auto requested_at = boot_time();
         const auto page = co_await self.log_.read_from_(next, poll_timeout);
-        update_reachability(self, page.reached_);
-        const bool records_discarded = page.reached_ && page.first_ > next;
-        if (page.expired_ || records_discarded)
+        const bool reached = accept_page(self, page);
+        const bool returned = reached && state.era_.era_.value_or(log_era{}) != next.era();
+        const bool records_discarded = reached && page.first_ > next;
+        if (reached && (returned || page.expired_ || records_discarded))
         {
             co_return;
         }
-        if (page.reached_)
+        if (reached)
         {
             apply_page(self, page, requested_at, poll_timeout);
             next = page.next_;
             reset(self.backoff_);
             self.failed_transfers_ = 0;
         }
-        if (!page.reached_ || is_behind_peers(state))
+        if (!reached || is_behind_peers(state))
         {
             self.failed_transfers_ = 0;
             // Either the log is unreachable, or another VM has a version that was appended after this VM's read.
@@ -276,12 +285,12 @@
     {
         const auto requested_at = boot_time();
         const auto full_read = co_await self.log_.read_newest_();
-        update_reachability(self, full_read.reached_);
-        if (full_read.reached_)
+        const bool reached = accept_page(self, full_read);
+        if (reached)
         {
             apply_newest(self, full_read);
         }
-        if (!full_read.reached_ || !full_read.complete_)
+        if (!reached || !full_read.complete_)
         {
             co_await back_off(self);
             continue;
--- a/tests/gateway/fake_topic.hpp
+++ b/tests/gateway/fake_topic.hpp
@@ -30,11 +30,28 @@
     std::size_t first_ = 0;              ///< records before this one have been discarded
     bool reachable_ = true;
     int newest_reads_ = 0;
+    int change_reads_ = 0;
+    log_era era_;                     ///< 0 when the log states none
     std::size_t lowest_read_ = 1000;  ///< lowest offset that changes were asked from
 
     void add(const std::string& key, const std::string& value)
     {
-        records_.push_back({key, value, value.empty(), at_offset(records_.size())});
+        records_.push_back({key, value, value.empty(), at_offset(records_.size(), era_)});
+    }
+
+    /// Comes back in the next era from a copy with the first @a copied records.
+    void come_back(std::size_t copied)
+    {
+        records_.resize(copied);
+        era_ = era_.next();
+        std::ranges::for_each(records_, [this](keyed_record& record) {
+            record.position_ = {era_, record.position_.offset()};
+        });
+    }
+
+    [[nodiscard]] std::optional<log_era> stated_era() const
+    {
+        return era_ == log_era{} ? std::nullopt : std::optional(era_);
     }
 
     static task<record_page> read_newest(fake_operator_topic* self)
@@ -53,7 +70,8 @@
                 page.records_.push_back(record);
             }
         }
-        page.next_ = at_offset(self->records_.size());
+        page.next_ = at_offset(self->records_.size(), self->era_);
+        page.era_ = self->stated_era();
         co_await sleep_for(milliseconds{5});
         co_return page;
     }
@@ -61,10 +79,15 @@
     static task<record_page> read_from(fake_operator_topic* self, log_position from, milliseconds wait)
     {
         self->lowest_read_ = std::min<std::size_t>(self->lowest_read_, from.offset().get());
+        ++self->change_reads_;
+        // As the platform's store, which is asked for an offset and does not know which era it is of.
+        const auto asked = std::max<std::size_t>(from.offset().get(), self->first_);
         record_page page;
         page.reached_ = self->reachable_;
-        page.first_ = std::max(from, at_offset(self->first_));
-        page.end_ = at_offset(self->records_.size());
+        page.era_ = self->stated_era();
+        page.expired_ = asked > self->records_.size();
+        page.first_ = at_offset(asked, self->era_);
+        page.end_ = at_offset(self->records_.size(), self->era_);
         page.next_ = page.first_;
         // One record a page, so that a read seldom reaches the end of the log.
         if (page.next_ < page.end_)
--- a/tests/gateway/follow_table_test.cpp
+++ b/tests/gateway/follow_table_test.cpp
@@ -255,3 +255,90 @@
     REQUIRE(peer_server->received_requests_.size() == 1);
     REQUIRE(gateway.run_until([&gateway] { return is_out(gateway, "a"); }));
 }
+
+namespace
+{
+
+/// A log whose history has three configurations, followed by a VM that has the last of them.
+struct returning_log
+{
+    gateway_fixture gateway_;
+    fake_operator_topic topic_;
+
+    returning_log()
+    {
+        topic_.era_ = log_era{1};
+        topic_.add("config", "1");
+        topic_.add("config", "2");
+        topic_.add("config", "3");
+        follow(gateway_, topic_);
+        REQUIRE(gateway_.run_until([this] { return is_ready(gateway_.state_) && version() == 3; }));
+    }
+
+    [[nodiscard]] std::uint64_t version() const
+    {
+        return gateway_.state_.table_->version_.get();
+    }
+
+    bool reaches(std::uint64_t wanted)
+    {
+        return gateway_.run_until([&] { return version() == wanted; });
+    }
+};
+
+}  // namespace
+
+// Guards against the fault of review/11: a key that was taken away after a return of the log stayed valid, because the
+// configuration without it stands at an offset that the VM had read before the return.
+TEST_CASE("a configuration that the operator writes after a return of the log from a copy is read")
+{
+    returning_log log;
+    const bool all_are_written_again = GENERATE(true, false);
+    const bool outgrows_old_end = GENERATE(true, false);
+    log.topic_.come_back(1);
+    if (all_are_written_again)
+    {
+        log.topic_.add("config", "2");
+    }
+    log.topic_.add("config", "3");
+    log.topic_.add("config", "4");
+    if (outgrows_old_end)
+    {
+        log.topic_.add("other", "1");
+        log.topic_.add("other", "2");
+    }
+    CHECK(log.reaches(4));
+    CHECK(log.gateway_.state_.era_.era_ == log_era{2});
+}
+
+// Guards against a VM that goes back to what the copy has, or that waits until everything is written again.
+TEST_CASE("a return of the log from a copy takes back no configuration, and its read confirms the active one")
+{
+    returning_log log;
+    auto& state = log.gateway_.state_;
+    log.topic_.come_back(1);
+    const auto returned_at = boot_time();
+    REQUIRE(log.gateway_.run_until(
+        [&] { return state.era_.era_ == log_era{2} && state.table_own_confirmed_at_ > returned_at; }));
+    CHECK(log.version() == 3);
+    log.topic_.add("config", "2");
+    log.topic_.add("config", "4");
+    CHECK(log.reaches(4));
+}
+
+// Guards against answers that were under way during the return, or that a damaged header makes look current: they would
+// confirm a table that the log has replaced since.
+TEST_CASE("an answer of an earlier era, or without one, confirms no configuration")
+{
+    returning_log log;
+    auto& state = log.gateway_.state_;
+    const bool is_late = GENERATE(true, false);
+    REQUIRE(accept_era(state, log_era{2}, "other topic"));
+    log.topic_.era_ = log_era{is_late ? 1U : 0U};
+    log.gateway_.io_.poll();
+    const int reads_before = log.topic_.change_reads_;
+    const auto confirmed_before = state.table_own_confirmed_at_;
+    REQUIRE(log.gateway_.run_until([&] { return log.topic_.change_reads_ >= reads_before + 2; }));
+    CHECK(state.table_own_confirmed_at_ == confirmed_before);
+    CHECK(log.version() == 3);
+}
