Keep what is known of the server list when the log comes back from a copy

After a return of the store from an older copy all VMs sent requests to a removed server until it ended, 10 s after the ack (bound 2 s).

Change: the first full list of a new era is compared with what was known. A ready server that is missing is kept for the grace period in which servers write their entries again (docs: about two seconds; bounded by drain_ms) and then removed. An entry that says less than is known (a removed or replaced lifetime, ready instead of draining) is doubted: a write behind the end of that first list replaces it at once, a removal drops it, and what the log still has after 6 s, when entries of servers that are gone have expired, is believed, so no VM waits for a write that never comes. A list or change of an earlier era changes nothing. VMs do not follow changes of another era by reports, but read the list themselves.

--- a/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/server_directory.hpp
@@ -57,11 +57,18 @@
     time_point paused_until_;  ///< the server takes no work from this VM until then
 };
 
+/// @brief The removal of a server from the list.
+struct removed_server
+{
+    log_position position_;
+    std::uint64_t started_at_ms_ = 0;  ///< lifetime that was listed last; 0 when this VM never knew one
+};
+
 /// @brief All backend servers listed by the platform.
 struct server_directory
 {
     std::map<server_id, known_server> servers_;
-    std::map<server_id, log_position> removed_;  ///< positions of removals; older entries must not undo them
+    std::map<server_id, removed_server> removed_;  ///< older entries must not undo these
     std::map<server_id, server_notice> notices_;
     server_limits limits_;
     evacuations evacuations_;
@@ -82,6 +89,10 @@
 /// @return true when the server is new, was restarted or changed its state
 bool upsert_listed_server(server_directory& directory, listed_server entry, log_position position, time_point now);
 
+/// @brief True when @a entry says less than is known of the server: that a lifetime is listed which was removed or
+/// replaced, or that a draining server is ready. Such an entry may be one that a log has kept in an older copy.
+[[nodiscard]] bool may_be_outdated(const server_directory& directory, const listed_server& entry);
+
 /// @brief Removes the server @a id unless a newer entry is known.
 /// @return true when the server was listed
 bool remove_listed_server(server_directory& directory, const server_id& id, log_position position);
--- a/packages/decisions/src/process/server_directory.cpp
+++ b/packages/decisions/src/process/server_directory.cpp
@@ -78,7 +78,7 @@
 {
     const auto removed = directory.removed_.find(id);
     const auto listed = directory.servers_.find(id);
-    return (removed == directory.removed_.end() || removed->second < position) &&
+    return (removed == directory.removed_.end() || removed->second.position_ < position) &&
            (listed == directory.servers_.end() || listed->second.record_position_ < position);
 }
 
@@ -87,7 +87,7 @@
     const auto removed = directory.removed_.find(entry.id_);
     if (removed != directory.removed_.end())
     {
-        if (position <= removed->second)
+        if (position <= removed->second.position_)
         {
             return false;
         }
@@ -112,6 +112,20 @@
     return changed;
 }
 
+bool may_be_outdated(const server_directory& directory, const listed_server& entry)
+{
+    const auto listed = directory.servers_.find(entry.id_);
+    if (listed == directory.servers_.end())
+    {
+        const auto removed = directory.removed_.find(entry.id_);
+        return removed != directory.removed_.end() &&
+               (removed->second.started_at_ms_ == 0 || entry.started_at_ms_ <= removed->second.started_at_ms_);
+    }
+    const auto& known = listed->second.listed_;
+    const bool is_undrained = known.state_ == server_state::draining && entry.state_ == server_state::ready;
+    return entry.started_at_ms_ == known.started_at_ms_ ? is_undrained : entry.started_at_ms_ < known.started_at_ms_;
+}
+
 bool remove_listed_server(server_directory& directory, const server_id& id, log_position position)
 {
     const auto found = directory.servers_.find(id);
@@ -119,7 +133,10 @@
     {
         return false;
     }
-    directory.removed_[id] = position;
+    auto& removed = directory.removed_[id];
+    removed.position_ = position;
+    removed.started_at_ms_ =
+        found == directory.servers_.end() ? removed.started_at_ms_ : found->second.listed_.started_at_ms_;
     return directory.servers_.erase(id) > 0;
 }
 
--- a/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/server_list.hpp
@@ -28,6 +28,15 @@
 {
     log_position at_;
     time_point due_at_;
+    bool after_return_ = false;  ///< the log may have lost the entry when it came back from a copy
+};
+
+/// @brief A return of the log from an older copy.
+struct list_return
+{
+    /// End of the first full list that was read after the return. What stands before it may be from the copy.
+    log_position first_end_;
+    std::chrono::nanoseconds read_at_{0};  ///< boot time of that read
 };
 
 /// @brief Log updates of other VMs since the list was last confirmed, by what became of them.
@@ -56,6 +65,10 @@
     bool is_exact_ = true;
     known_reads reads_;  ///< by this VM and by those whose reports it has received
     std::map<server_id, deferred_removal> deferred_removals_;
+    std::optional<list_return> return_;  ///< the last one
+    /// Entries of the list after the return that say less than was known before. They take effect when the log still
+    /// has them after the time in which the entries of servers that are gone expire.
+    std::map<server_id, server_list_change> doubted_;
     update_counts updates_;  ///< since the list was last confirmed
 };
 
@@ -64,7 +77,9 @@
 /// @param source the VM whose report contained the change, or `log_read`; logged
 void apply_change(gateway_state& state, const server_list_change& change, const std::string& source = log_read);
 
-/// @brief Applies a read of the full list and removes the known servers that are not in it.
+/// @brief Applies a read of the full list and removes the known servers that are not in it. After a return of the log
+/// from a copy, a ready server that is missing is removed only if its entry is not written again within the grace
+/// period, and an entry that says less than is known is doubted.
 /// @param listed all ids in the list, including those whose entries cannot be decoded
 /// @param next one past the last position covered by the read
 /// @param known_before end of the known list when the read was requested. A read that ends after it, but before what
@@ -77,6 +92,10 @@
 /// not renew their entries during the outage either.
 void record_list_read(gateway_state& state, std::chrono::nanoseconds requested_at);
 
+/// @brief Applies the entries that the log had when it came back from a copy and that it still has when the entries of
+/// servers that are gone have expired, although they say less than was known before.
+void apply_doubted_entries(gateway_state& state);
+
 /// @brief Removes the servers that have not renewed their entries within the grace period, unless the log is away
 /// again, and those whose removal was deferred for an outage that there was not, as other VMs have reported since.
 void apply_deferred_removals(gateway_state& state);
--- a/packages/gateway/src/process/follow_servers.cpp
+++ b/packages/gateway/src/process/follow_servers.cpp
@@ -121,15 +121,23 @@
     log_event(severity::info, list_reached, "the server list can be read");
 }
 
+/// True when the log has answered and the answer is of its present era.
+bool accept_page(follower& self, const record_page& page)
+{
+    const bool is_usable = accept_era_of(self.state_, page, "servers");
+    update_reachability(self, is_usable);
+    return is_usable;
+}
+
 task<record_page> read_full_list(follower& self)
 {
     while (true)
     {
         const auto requested_at = boot_time();
         auto page = co_await self.log_.read_newest_();
-        update_reachability(self, page.reached_);
+        const bool reached = accept_page(self, page);
         // A server that is missing in a part of the list has not left.
-        if (page.reached_ && page.complete_)
+        if (reached && page.complete_)
         {
             reset(self.backoff_);
             record_list_read(self.state_, requested_at);
@@ -147,15 +155,16 @@
     const auto requested_at = boot_time();
     const auto from = list.next_;
     const auto page = co_await self.log_.read_from_(from, milliseconds{0});
-    update_reachability(self, page.reached_);
-    if (!page.reached_)
+    const bool reached = accept_page(self, page);
+    if (!reached)
     {
         co_await back_off(self);
         co_return true;
     }
     reset(self.backoff_);
     record_list_read(self.state_, requested_at);
-    if (page.expired_ || page.first_ > from)
+    const bool returned = self.state_.era_.era_.value_or(log_era{}) != from.era();
+    if (returned || page.expired_ || page.first_ > from)
     {
         co_return false;
     }
@@ -187,6 +196,7 @@
         {
             co_await sleep_for(check_interval);
             apply_deferred_removals(state);
+            apply_doubted_entries(state);
             if (is_read_due(state, list.confirmed_at_))
             {
                 if (own_reader_position(state) >= reader_count)
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -19,6 +19,8 @@
 constexpr event_kind removal_deferred{4061, "server_removal_deferred"};
 constexpr event_kind list_behind{4062, "server_list_behind"};
 constexpr event_kind list_read_again{4064, "server_list_read_again"};
+constexpr event_kind list_returned{4067, "server_list_returned"};
+constexpr event_kind doubted_entry_applied{4068, "server_entry_accepted"};
 
 /// This VM sends what it read itself until the read is this old. VMs that receive nothing newer read the log
 /// themselves.
@@ -33,6 +35,9 @@
 constexpr byte_count max_evacuation_bytes{512};
 /// A VM that has been silent for three report intervals does not count as a log reader.
 constexpr milliseconds reader_silence_limit{1000};
+/// The log removes the entry of a server that is gone after three heartbeats (3.6 s), and servers write their entries
+/// again within 2 s of its return.
+constexpr milliseconds doubt_period{6000};
 
 milliseconds age_of(std::chrono::nanoseconds boot_timestamp)
 {
@@ -83,13 +88,10 @@
     list.unread_ = unread;
 }
 
-/// True when a ready server may have been removed only because it could not renew its entry during an outage of the
-/// log.
-bool should_defer_removal(const gateway_state& state, const server_id& id)
+bool is_ready_server(const gateway_state& state, const server_id& id)
 {
     const auto found = state.directory_.servers_.find(id);
-    return removal_grace(state.server_list_.reads_, boot_time()) > milliseconds{0} &&
-           found != state.directory_.servers_.end() && found->second.listed_.state_ == server_state::ready;
+    return found != state.directory_.servers_.end() && found->second.listed_.state_ == server_state::ready;
 }
 
 void apply_upsert(gateway_state& state, const server_list_change& change, const std::string& source)
@@ -157,38 +159,71 @@
     }
 }
 
-/// Applies @a change to the directory without keeping it for other VMs.
-void apply_to_directory(gateway_state& state, const server_list_change& change, const std::string& source)
+/// Removes the server of @a change after @a grace, or at once when there is none or the server takes no work anyway.
+/// @param after_return whether the log may have lost the entry when it came back from a copy
+void apply_removal(gateway_state& state, const server_list_change& change, const std::string& source,
+                   milliseconds grace, bool after_return)
 {
-    if (!change.removed_)
+    if (grace <= milliseconds{0} || !is_ready_server(state, change.server_.id_))
     {
-        apply_upsert(state, change, source);
+        remove_server(state, change.server_.id_, change.at_, source);
         return;
     }
-    if (should_defer_removal(state, change.server_.id_))
+    const auto now = std::chrono::steady_clock::now();
+    const auto due = removal_due(now, now + grace, state.settings_.staleness_bound_);
+    const auto [deferred, inserted] = state.server_list_.deferred_removals_.try_emplace(
+        change.server_.id_, deferred_removal{change.at_, due, after_return});
+    if (!inserted)
     {
-        const auto now = std::chrono::steady_clock::now();
-        const auto grace_end = now + removal_grace(state.server_list_.reads_, boot_time());
-        const auto due = removal_due(now, grace_end, state.settings_.staleness_bound_);
-        const auto [deferred, inserted] =
-            state.server_list_.deferred_removals_.try_emplace(change.server_.id_, change.at_, due);
-        if (!inserted)
-        {
-            // Read again; it is due as before.
-            deferred->second.at_ = std::max(deferred->second.at_, change.at_);
-            return;
-        }
-        const auto left = std::chrono::ceil<milliseconds>(due - now);
-        log_event(severity::info, removal_deferred,
-                  "the entry of a ready server may have expired in an outage of the log; the server is kept for a time",
-                  {{"server", change.server_.id_.get()},
-                   {"position", to_text(change.at_)},
-                   {"source", source},
-                   {"readable_for_ms", std::to_string(age_of(state.server_list_.reads_.since_).count())},
-                   {"for_ms", std::to_string(left.count())}});
+        // Read again; it is due as before.
+        deferred->second.at_ = std::max(deferred->second.at_, change.at_);
+        return;
+    }
+    const auto left = std::chrono::ceil<milliseconds>(due - now);
+    log_event(severity::info, removal_deferred,
+              "the entry of a ready server may be missing only because of an outage of the log or its return from a "
+              "copy; the server is kept for a time",
+              {{"server", change.server_.id_.get()},
+               {"position", to_text(change.at_)},
+               {"source", source},
+               {"after_return", after_return ? "1" : "0"},
+               {"readable_for_ms", std::to_string(age_of(state.server_list_.reads_.since_).count())},
+               {"for_ms", std::to_string(left.count())}});
+}
+
+/// Applies @a change to the directory without keeping it for other VMs. The entry of a ready server may have been
+/// removed only because the server could not renew it during an outage of the log.
+void apply_to_directory(gateway_state& state, const server_list_change& change, const std::string& source)
+{
+    if (!change.removed_)
+    {
+        apply_upsert(state, change, source);
         return;
     }
-    remove_server(state, change.server_.id_, change.at_, source);
+    apply_removal(state, change, source, removal_grace(state.server_list_.reads_, boot_time()), false);
+}
+
+/// True for an entry that the log may have had in the copy that it came back from, and that says less than is known.
+bool is_doubted(const gateway_state& state, const server_list_change& entry)
+{
+    const auto& list = state.server_list_;
+    const bool may_be_copied =
+        list.return_ && covers(list.return_->first_end_, entry.at_) && age_of(list.return_->read_at_) < doubt_period;
+    const auto deferred = list.deferred_removals_.find(entry.server_.id_);
+    const bool was_removed = deferred != list.deferred_removals_.end() && !is_same_era(deferred->second.at_, entry.at_);
+    return may_be_copied && (was_removed || may_be_outdated(state.directory_, entry.server_));
+}
+
+/// Notes that the log has come back from a copy, whose list ends at @a next.
+void begin_return(server_list& list, log_position next, std::size_t servers)
+{
+    log_event(
+        severity::warning, list_returned,
+        "the full server list was read after the log came back from an older copy; servers that are missing in it "
+        "are kept for a time, and entries that say less than is known are not believed yet",
+        {{"known_end", to_text(list.next_)}, {"position", to_text(next)}, {"servers", std::to_string(servers)}});
+    list.return_ = list_return{next, boot_time()};
+    list.doubted_.clear();
 }
 
 }  // namespace
@@ -200,6 +235,7 @@
         return;
     }
     keep_change(state.server_list_, change, std::chrono::steady_clock::now());
+    state.server_list_.doubted_.erase(change.server_.id_);
     apply_to_directory(state, change, source);
 }
 
@@ -219,7 +255,7 @@
     }
     const bool is_grace_over = removal_grace(state.server_list_.reads_, boot_time()) == milliseconds{0};
     std::erase_if(removals, [&state, is_grace_over, now = std::chrono::steady_clock::now()](const auto& entry) {
-        const bool is_due = is_grace_over || entry.second.due_at_ <= now;
+        const bool is_due = (is_grace_over && !entry.second.after_return_) || entry.second.due_at_ <= now;
         if (is_due)
         {
             remove_server(state, entry.first, entry.second.at_, "deferred");
@@ -228,16 +264,37 @@
     });
 }
 
+void apply_doubted_entries(gateway_state& state)
+{
+    auto& list = state.server_list_;
+    const bool is_settled = list.return_ && age_of(list.return_->read_at_) >= doubt_period;
+    if (list.doubted_.empty() || !is_settled || server_list_age(state) >= min_expiry_outage)
+    {
+        return;
+    }
+    std::ranges::for_each(std::exchange(list.doubted_, {}) | std::views::values, [&](const server_list_change& entry) {
+        log_event(severity::info, doubted_entry_applied,
+                  "the log still has an entry that it had when it came back from a copy; it is believed",
+                  {{"server", entry.server_.id_.get()}, {"position", to_text(entry.at_)}});
+        apply_upsert(state, entry, log_read);
+    });
+}
+
 void apply_full_list(gateway_state& state, std::vector<server_list_change> entries, const std::set<server_id>& listed,
                      log_position next, log_position known_before)
 {
     auto& list = state.server_list_;
-    const bool is_overtaken = list.listed_ && known_before <= next && next < list.next_;
+    const bool is_other_era = list.listed_ && !is_same_era(list.next_, next);
+    const bool is_overtaken = list.listed_ && next < list.next_ && (known_before <= next || is_other_era);
     if (is_overtaken)
     {
         return;
     }
-    if (list.listed_ && list.next_ < next)
+    if (is_other_era)
+    {
+        begin_return(list, next, listed.size());
+    }
+    else if (list.listed_ && list.next_ < next)
     {
         log_event(severity::info, list_read_again,
                   "the full server list was read again, without the records in between",
@@ -249,10 +306,17 @@
     }
     // Log updates to other VMs carry these changes like those that were read one by one, ordered by position.
     std::ranges::sort(entries, {}, &server_list_change::at_);
-    std::ranges::for_each(entries, [&state, next](const server_list_change& entry) {
+    std::erase_if(list.doubted_, [&listed](const auto& entry) { return !listed.contains(entry.first); });
+    std::ranges::for_each(entries, [&state, next, is_other_era](const server_list_change& entry) {
+        if (is_doubted(state, entry))
+        {
+            state.server_list_.doubted_[entry.server_.id_] = entry;
+            return;
+        }
+        state.server_list_.doubted_.erase(entry.server_.id_);
         // The pages of the read are no snapshot. What is newer than the first of them is read once more as a record,
         // which the other VMs get in its turn.
-        if (entry.at_ < next)
+        if (entry.at_ < next && !is_other_era)
         {
             keep_change(state.server_list_, entry, std::chrono::steady_clock::now());
         }
@@ -269,10 +333,16 @@
         change.server_.id_ = id;
         change.removed_ = true;
         change.at_ = last_position;
+        if (is_other_era)
+        {
+            // The copy may lack the entry.
+            apply_removal(state, change, log_read, removal_grace_period, true);
+            return;
+        }
         keep_change(list, change, std::chrono::steady_clock::now());
         apply_to_directory(state, change, log_read);
     });
-    if (!list.listed_ || !list.is_exact_)
+    if (!list.listed_ || !list.is_exact_ || is_other_era)
     {
         // The difference to what was known before is not complete.
         start_changes_at(list, next);
@@ -357,7 +427,9 @@
     add_reported_reads(list.reads_, update, now);
     // A server that is known here already from beyond the known end may have been removed at an unread offset.
     const bool lacks_records = update.unread_ && list.next_ <= update.unread_->begin_ && !list.is_exact_;
-    if (!list.listed_ || !can_follow(update, list.next_) || lacks_records)
+    // Whoever has not read the list in the era of the update, or has read it in a later one, cannot follow it.
+    const bool is_other_era = update.changes_end_ > log_position{} && !is_same_era(update.changes_end_, list.next_);
+    if (!list.listed_ || is_other_era || !can_follow(update, list.next_) || lacks_records)
     {
         ++list.updates_.with_gap_;
         return;
--- a/packages/value/include/cornelstall/value/log_position.hpp
+++ b/packages/value/include/cornelstall/value/log_position.hpp
@@ -68,11 +68,17 @@
     std::uint64_t offset_ = 0;
 };
 
+/// @brief True when the offsets of both positions number records of the same history.
+[[nodiscard]] constexpr bool is_same_era(log_position left, log_position right) noexcept
+{
+    return left.era() == right.era();
+}
+
 /// @brief True when a reader that knows all records of an era before @a end knows the record at @a position. Says
 /// nothing about records of other eras: a log that came back from a copy may lack them.
 [[nodiscard]] constexpr bool covers(log_position end, log_position position) noexcept
 {
-    return end.era() == position.era() && position < end;
+    return is_same_era(end, position) && position < end;
 }
 
 /// @brief The position for people: `era:offset`.
--- a/tests/gateway/follow_servers_test.cpp
+++ b/tests/gateway/follow_servers_test.cpp
@@ -148,3 +148,131 @@
     CHECK(list.confirmed_at_ > confirmed_before);
     CHECK(gateway.run_until([&gateway] { return !knows(gateway, "b"); }));
 }
+
+namespace
+{
+
+/// A VM that has read the list of a log in its first era, with the servers `a`, `b` and `c`.
+struct returning_list
+{
+    gateway_fixture gateway_;
+    fake_operator_topic topic_;
+
+    returning_list()
+    {
+        gateway_.state_.settings_.staleness_bound_ = milliseconds{600};
+        topic_.era_ = log_era{1};
+        topic_.add("a", "{}");
+        topic_.add("b", "{}");
+        topic_.add("c", "{}");
+        follow(gateway_, topic_);
+        REQUIRE(reads_to_end());
+        REQUIRE(knows(gateway_, "c"));
+    }
+
+    bool reads_to_end()
+    {
+        return gateway_.run_until([this] {
+            const auto& list = gateway_.state_.server_list_;
+            return list.is_exact_ && list.next_ == at_offset(topic_.records_.size(), topic_.era_);
+        });
+    }
+
+    /// Ends the time in which entries of the copy are doubted.
+    void settle()
+    {
+        gateway_.state_.server_list_.return_->read_at_ -= std::chrono::seconds{60};
+    }
+};
+
+}  // namespace
+
+// Guards against the fault of review/12: a server that was removed after a return of the log got requests until it
+// ended, because the removal stood at an offset below the known end.
+TEST_CASE("a removal that is written after a return of the log from a copy is noticed")
+{
+    returning_list list;
+    const bool outgrows_old_end = GENERATE(true, false);
+    list.topic_.come_back(2);
+    if (outgrows_old_end)
+    {
+        list.topic_.add("b", "{}");
+        list.topic_.add("c", "{}");
+    }
+    list.topic_.add("a", "");
+    REQUIRE(list.reads_to_end());
+    REQUIRE(list.gateway_.run_until([&list] { return !knows(list.gateway_, "a"); }));
+    CHECK(knows(list.gateway_, "b"));
+}
+
+// Guards against a server that has left and gets requests again, because the log came back from a copy that has its
+// entry.
+TEST_CASE("a server that was removed before a return of the log stays removed until the log says otherwise")
+{
+    returning_list list;
+    list.topic_.add("a", "");
+    REQUIRE(list.reads_to_end());
+    REQUIRE_FALSE(knows(list.gateway_, "a"));
+    list.topic_.come_back(3);
+    REQUIRE(list.reads_to_end());
+    CHECK_FALSE(knows(list.gateway_, "a"));
+    CHECK(knows(list.gateway_, "b"));
+    SECTION("by an entry that is written after the return")
+    {
+        list.topic_.add("a", "{}");
+        REQUIRE(list.reads_to_end());
+        CHECK(knows(list.gateway_, "a"));
+    }
+    SECTION("by a removal that is written again")
+    {
+        list.topic_.add("a", "");
+        REQUIRE(list.reads_to_end());
+        list.settle();
+        const int reads_before = list.topic_.change_reads_;
+        REQUIRE(list.gateway_.run_until([&] { return list.topic_.change_reads_ >= reads_before + 3; }));
+        CHECK_FALSE(knows(list.gateway_, "a"));
+    }
+    SECTION("by an entry that does not expire, for which no write comes")
+    {
+        list.settle();
+        CHECK(list.gateway_.run_until([&list] { return knows(list.gateway_, "a"); }));
+    }
+}
+
+// Guards against a return of the log that takes servers away which are in the list again a moment later.
+TEST_CASE("a server whose entry the copy lacks is used until the time in which it is written again has passed")
+{
+    returning_list list;
+    list.topic_.come_back(2);
+    const bool is_written_again = GENERATE(true, false);
+    REQUIRE(list.reads_to_end());
+    CHECK(knows(list.gateway_, "c"));
+    if (is_written_again)
+    {
+        list.topic_.add("c", "{}");
+        REQUIRE(list.reads_to_end());
+        CHECK(list.gateway_.state_.server_list_.deferred_removals_.empty());
+        CHECK(knows(list.gateway_, "c"));
+    }
+    else
+    {
+        CHECK(list.gateway_.run_until([&list] { return !knows(list.gateway_, "c"); }));
+    }
+}
+
+// Guards against an answer from before the return that brings back the old list.
+TEST_CASE("a list that is of an earlier era of the log than the known one changes nothing")
+{
+    returning_list list;
+    auto& state = list.gateway_.state_;
+    list.topic_.come_back(2);
+    list.topic_.add("a", "");
+    REQUIRE(list.gateway_.run_until([&list] { return !knows(list.gateway_, "a"); }));
+    server_list_change late;
+    late.server_ = *decode_entry({"a", "{}", false, at_offset(7, log_era{1})});
+    late.at_ = at_offset(7, log_era{1});
+    apply_full_list(state, {late}, {server_id{"a"}}, at_offset(8, log_era{1}), at_offset(9, log_era{1}));
+    apply_change(state, late);
+    CHECK_FALSE(knows(list.gateway_, "a"));
+    CHECK(knows(list.gateway_, "b"));
+}
