Keep evacuations when the log comes back from a copy, and obey those after it

An evacuation that was requested 7 s after a return of the store from an older copy was ignored by all VMs until the log had grown past its old end.

One that the log has lost stays in force until a record of the new era removes it; removals are reported to VMs that may still have it. A request that the copy has again although its removal is known is doubted: it is in force at once when it is written again, and after 2.5 s when the log still has it. Ends of former eras are kept, so that the report of a VM that was cut off during the return restores nothing. A report of a later era than the log itself has stated is not applied, because its era may be malformed.

Weighed: to end a lost request after a time. Not done, because the rule holds until the operator takes the request back, and that is a write.

--- a/packages/decisions/include/cornelstall/decisions/process/evacuations.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/evacuations.hpp
@@ -22,8 +22,14 @@
 {
     /// Removed requests are kept only while their record is not covered by `known_end_`.
     std::map<data_centre_id, evacuation_record> records_;
-    log_position known_end_;  ///< every record before this position is taken into account
-    bool known_ = false;      ///< a whole read of the log or another VM's report has been applied
+    log_position known_end_;                        ///< every record before this position is taken into account
+    std::map<data_centre_id, log_position> ended_;  ///< the last removals of requests, for a log that forgets them
+    std::vector<log_position> former_ends_;         ///< `known_end_` in earlier eras of the log, the latest last
+    /// Set after a return of the log from a copy: records before this position may be from the copy.
+    std::optional<log_position> first_end_;
+    /// Requests that the log showed after its return although their removal is known.
+    std::map<data_centre_id, log_position> doubted_;
+    bool known_ = false;  ///< a whole read of the log or another VM's report has been applied
 };
 
 /// @brief A record about the evacuation of a data centre, with its place in the log.
@@ -34,15 +40,25 @@
     bool evacuated_ = false;
 };
 
-/// @brief The evacuation requests that were in force at one place of the log. A request that is not listed was not in
-/// force there.
+/// @brief The evacuation requests that were in force at one place of the log. A request of the same era that is not
+/// listed was not in force there. A request of an earlier era may have been lost by the log and stays in force.
 struct evacuation_snapshot
 {
     log_position end_;  ///< covers every record before this position
     std::vector<evacuation_entry> entries_;
 };
 
-/// @brief Applies the record at @a position. A record that is already taken into account changes nothing.
+/// @brief Records that the log has come back from a copy when @a end is of a later era than what is known.
+/// @param end the end of the first read of the later era; what stands before it may be from the copy
+void begin_era(evacuations& known, log_position end);
+
+/// @brief Puts the doubted requests in force: the log still has them although their removal could have been written
+/// again.
+/// @return the changes
+[[nodiscard]] std::vector<evacuation_entry> settle_evacuations(evacuations& known);
+
+/// @brief Applies the record at @a position. A record that is already taken into account changes nothing,
+/// and a request whose removal is known is doubted when it may be from a copy.
 /// @return true when the data centre became evacuated or is evacuated no longer
 bool apply_evacuation(evacuations& known, const data_centre_id& data_centre, log_position position, bool evacuated);
 
--- a/packages/gateway/include/cornelstall/gateway/process/evacuation_list.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/evacuation_list.hpp
@@ -16,4 +16,8 @@
 /// @brief Applies the evacuation requests that @a source reported.
 void apply_reported_evacuations(gateway_state& state, const evacuation_snapshot& reported, const vm_id& source);
 
+/// @brief Puts the requests in force that the log still has some time after it came back from a copy, although their
+/// removal was known before.
+void apply_doubted_evacuations(gateway_state& state);
+
 }  // namespace cornelstall
--- a/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
+++ b/packages/gateway/include/cornelstall/gateway/process/gateway_state.hpp
@@ -46,8 +46,9 @@
     /// Boot time at which the evacuation requests were last known to be those in force. They come from the same log as
     /// the routing table, but another VM's report may confirm the table without them.
     std::chrono::nanoseconds evacuations_confirmed_at_{0};
-    known_era era_;                       ///< of the platform's log
-    bool server_list_reachable_ = false;  ///< the last read of the server list succeeded
+    known_era era_;                                 ///< of the platform's log
+    std::optional<list_return> evacuation_return_;  ///< the return of the log after which requests are doubted
+    bool server_list_reachable_ = false;            ///< the last read of the server list succeeded
     server_list server_list_;
     server_directory directory_;
     fleet_load fleet_load_;
--- a/packages/gateway/src/process/evacuation_list.cpp
+++ b/packages/gateway/src/process/evacuation_list.cpp
@@ -51,4 +51,26 @@
                           [&](const evacuation_entry& change) { handle_change(state, change, source.get()); });
 }
 
+void apply_doubted_evacuations(gateway_state& state)
+{
+    auto& known = state.directory_.evacuations_;
+    if (!known.first_end_)
+    {
+        return;
+    }
+    if (!state.evacuation_return_ || state.evacuation_return_->first_end_ != *known.first_end_)
+    {
+        state.evacuation_return_ = list_return{*known.first_end_, boot_time()};
+    }
+    const auto now = boot_time();
+    const bool is_settled = now - state.evacuation_return_->read_at_ >= removal_grace_period;
+    const bool is_confirmed = now - state.evacuations_confirmed_at_ < min_expiry_outage;
+    if (is_settled && is_confirmed)
+    {
+        std::ranges::for_each(settle_evacuations(known), [&state](const evacuation_entry& change) {
+            handle_change(state, change, "log_after_return");
+        });
+    }
+}
+
 }  // namespace cornelstall
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -415,11 +415,14 @@
     {
         state.table_confirmed_at_ = std::max(state.table_confirmed_at_, now - *update.routing_table_age_);
     }
-    if (update.evacuations_)
+    // A later era than the log has stated to this VM may be malformed; the VM sees it in its own next read.
+    const bool knows_era =
+        update.evacuations_ && update.evacuations_->end_.era() <= state.era_.era_.value_or(log_era{});
+    if (knows_era)
     {
         apply_reported_evacuations(state, *update.evacuations_, source);
     }
-    if (update.evacuations_ && update.routing_table_age_)
+    if (knows_era && update.routing_table_age_)
     {
         state.evacuations_confirmed_at_ = std::max(state.evacuations_confirmed_at_, now - *update.routing_table_age_);
     }
--- a/packages/gateway/src/version/follow_table.cpp
+++ b/packages/gateway/src/version/follow_table.cpp
@@ -167,6 +167,7 @@
 /// complete may still be in force.
 void apply_newest(follower& self, const record_page& page)
 {
+    begin_era(self.state_.directory_.evacuations_, page.next_);
     std::ranges::for_each(page.records_, [&self](const keyed_record& record) { apply_record(self, record); });
     if (!page.complete_)
     {
@@ -231,6 +232,7 @@
     auto& state = self.state_;
     while (true)
     {
+        apply_doubted_evacuations(state);
         const bool long_polls = is_first_reader(state);
         const bool read_due = is_read_due(state, confirmed_at(state));
         if (!long_polls && !is_behind_peers(state) && !read_due)
--- a/tests/gateway/follow_table_test.cpp
+++ b/tests/gateway/follow_table_test.cpp
@@ -342,3 +342,52 @@
     CHECK(state.table_own_confirmed_at_ == confirmed_before);
     CHECK(log.version() == 3);
 }
+
+// Guards against the fault of review/13: an evacuation after a return of the log was ignored by all VMs until the log
+// had grown past its old end.
+TEST_CASE("an evacuation that is requested after a return of the log from a copy is obeyed, and one before it as well")
+{
+    returning_log log;
+    log.topic_.add("out/a", "{}");
+    REQUIRE(log.gateway_.run_until([&log] { return is_out(log.gateway_, "a"); }));
+    log.topic_.come_back(1);
+    log.topic_.add("config", "3");
+    REQUIRE(log.gateway_.run_until([&log] { return log.gateway_.state_.era_.era_ == log_era{2}; }));
+    CHECK(is_out(log.gateway_, "a"));
+    log.topic_.add("out/b", "{}");
+    REQUIRE(log.gateway_.run_until([&log] { return is_out(log.gateway_, "b"); }));
+    CHECK(is_out(log.gateway_, "a"));
+    log.topic_.add("out/a", "{}");
+    log.topic_.add("out/a", "");
+    CHECK(log.gateway_.run_until([&log] { return !is_out(log.gateway_, "a"); }));
+    CHECK(is_out(log.gateway_, "b"));
+}
+
+// Guards against a VM that waits for ever for the removal of a request that the log still has.
+TEST_CASE("a request that the log has again after its return is obeyed when its removal is not written again")
+{
+    returning_log log;
+    log.topic_.add("out/a", "{}");
+    log.topic_.add("out/a", "");
+    auto& known = log.gateway_.state_.directory_.evacuations_;
+    REQUIRE(log.gateway_.run_until([&known] { return known.known_end_ == at_offset(5, log_era{1}); }));
+    log.topic_.come_back(4);
+    REQUIRE(log.gateway_.run_until([&known] { return known.known_end_ == at_offset(4, log_era{2}); }));
+    CHECK_FALSE(is_out(log.gateway_, "a"));
+    CHECK(log.gateway_.run_until([&log] { return is_out(log.gateway_, "a"); }));
+}
+
+// Guards against a malformed era in a report that makes a VM ignore what the log shows.
+TEST_CASE("a report of a later era than the log has stated changes nothing")
+{
+    returning_log log;
+    auto& state = log.gateway_.state_;
+    log_update update;
+    update.routing_table_age_ = milliseconds{0};
+    update.evacuations_ =
+        evacuation_snapshot{at_offset(2, log_era{9}), {{data_centre_id{"a"}, at_offset(1, log_era{9}), true}}};
+    const auto end_before = state.directory_.evacuations_.known_end_;
+    apply_log_update(state, update, state.table_->version_);
+    CHECK_FALSE(is_out(log.gateway_, "a"));
+    CHECK(state.directory_.evacuations_.known_end_ == end_before);
+}
