Follow evacuations across a return of the log by own reads only

A request that the sender doubted is missing in its report, which read as its removal, for good. A request carried over two returns was not doubted.

Change: a report of another era than what is known changes nothing, each VM reads the topic itself after a return; a VM that doubts requests reports none; any request before the end of the first read whose removal is known is doubted.

--- a/packages/decisions/include/cornelstall/decisions/process/evacuations.hpp
+++ b/packages/decisions/include/cornelstall/decisions/process/evacuations.hpp
@@ -72,14 +72,15 @@
 [[nodiscard]] std::vector<evacuation_entry> apply_full_evacuation_read(evacuations& known,
                                                                        const evacuation_snapshot& read);
 
-/// @brief Applies what another VM reported, like a whole read of the log.
+/// @brief Applies what another VM reported, like a whole read of the log. A report of another era than what is known
+/// changes nothing: only an own read shows what the log has after its return.
 /// @return the changes of data centres that became evacuated or are evacuated no longer
 [[nodiscard]] std::vector<evacuation_entry> merge_reported(evacuations& known, const evacuation_snapshot& reported);
 
 /// @brief What this VM reports to the others.
 /// @param limit size that the entries may take in an encoded report
-/// @return nothing when nothing is known yet or the entries do not fit: a part of them would read as the removal of the
-/// others
+/// @return nothing when nothing is known yet, requests are doubted or the entries do not fit: a part of them would read
+/// as the removal of the others
 [[nodiscard]] std::optional<evacuation_snapshot> to_report(const evacuations& known, byte_count limit);
 
 /// @brief True when nothing may be sent to the servers of @a data_centre.
--- a/packages/decisions/src/process/evacuations.cpp
+++ b/packages/decisions/src/process/evacuations.cpp
@@ -46,7 +46,7 @@
 bool is_doubted(const evacuations& known, const data_centre_id& data_centre, log_position position)
 {
     const auto ended = known.ended_.find(data_centre);
-    return known.first_end_ && covers(*known.first_end_, position) && ended != known.ended_.end() &&
+    return known.first_end_ && position < *known.first_end_ && ended != known.ended_.end() &&
            !is_same_era(ended->second, position);
 }
 
@@ -178,6 +178,10 @@
 
 std::vector<evacuation_entry> merge_reported(evacuations& known, const evacuation_snapshot& reported)
 {
+    if (known.known_ && !is_same_era(known.known_end_, reported.end_))
+    {
+        return {};
+    }
     return apply_snapshot(known, reported);
 }
 
@@ -205,7 +209,7 @@
             }
         });
     }
-    return known.known_ && fits ? std::optional(std::move(report)) : std::nullopt;
+    return known.known_ && fits && known.doubted_.empty() ? std::optional(std::move(report)) : std::nullopt;
 }
 
 bool is_evacuated(const evacuations& known, const data_centre_id& data_centre)
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -418,8 +418,10 @@
         state.table_confirmed_at_ = std::max(state.table_confirmed_at_, now - *update.routing_table_age_);
     }
     // A later era than the log has stated to this VM may be malformed; the VM sees it in its own next read.
-    const bool knows_era =
-        update.evacuations_ && update.evacuations_->end_.era() <= state.era_.era_.value_or(log_era{});
+    const auto& evacuated = state.directory_.evacuations_;
+    const bool knows_era = update.evacuations_ &&
+                           update.evacuations_->end_.era() <= state.era_.era_.value_or(log_era{}) &&
+                           (!evacuated.known_ || is_same_era(update.evacuations_->end_, evacuated.known_end_));
     if (knows_era)
     {
         apply_reported_evacuations(state, *update.evacuations_, source);
