Keep a doubted evacuation when an earlier removal of it is reported

Cause: the report of a removal from before the return dropped the doubt about the newer request of the new era, so that the request was neither obeyed nor doubted.

Change: only a newer record drops the doubt. evacuations_test fails at 155 without it.

--- a/packages/decisions/src/process/evacuations.cpp
+++ b/packages/decisions/src/process/evacuations.cpp
@@ -143,7 +143,11 @@
         known.doubted_[data_centre] = position;
         return false;
     }
-    known.doubted_.erase(data_centre);
+    const auto doubted = known.doubted_.find(data_centre);
+    if (doubted != known.doubted_.end() && doubted->second < position)
+    {
+        known.doubted_.erase(doubted);
+    }
     const auto [found, inserted] = known.records_.try_emplace(data_centre);
     auto& record = found->second;
     if (!inserted && position <= record.position_)
--- a/tests/decisions/evacuations_test.cpp
+++ b/tests/decisions/evacuations_test.cpp
@@ -148,6 +148,12 @@
         CHECK(settle_evacuations(known).size() == 1);
         CHECK(is_evacuated(known, copied));
     }
+    SECTION("also when another VM reports an earlier removal")
+    {
+        const evacuation_snapshot reported{at_offset(5, second_era), {{copied, at_offset(12, first_era), false}}};
+        CHECK(merge_reported(known, reported).empty());
+        CHECK(settle_evacuations(known).size() == 1);
+    }
     SECTION("and forgotten when its removal is written again")
     {
         CHECK_FALSE(apply_evacuation(known, copied, at_offset(6, second_era), false));
