Use servers that are written again after a return from an empty copy

Cause: servers that are missing in a list count as removed by the record before its end. An empty list has none, so the removal got the position of the first record that followed, and that record counted as outdated for good.

Change: such a removal gets the position of the record that it removes. follow_servers_test fails at 288 without it.

--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -327,12 +327,14 @@
                          [&listed](const server_id& id) { return !listed.contains(id); });
     // A server that registers again under this id has a record at `next` or later, so the removal must come before
     // that.
+    const bool is_empty = next.offset().get() == 0;
     const auto last_position = next.previous();
     std::ranges::for_each(unlisted, [&](const server_id& id) {
         server_list_change change;
         change.server_.id_ = id;
         change.removed_ = true;
-        change.at_ = last_position;
+        // An empty list has no position before its end; its first record must not count as older than the removal.
+        change.at_ = is_empty ? state.directory_.servers_.at(id).record_position_ : last_position;
         const auto deferred = list.deferred_removals_.find(id);
         const bool is_kept = deferred != list.deferred_removals_.end() && deferred->second.after_return_;
         if (is_other_era || is_kept)
--- a/tests/gateway/follow_servers_test.cpp
+++ b/tests/gateway/follow_servers_test.cpp
@@ -277,6 +277,17 @@
     CHECK(make_log_update(state).changes_.empty());
 }
 
+// Guards against a server that is ignored for good because its entry is the first record after a return from an empty
+// copy.
+TEST_CASE("servers that are written again after a return from an empty copy are used")
+{
+    returning_list list;
+    list.topic_.come_back(0);
+    REQUIRE(list.gateway_.run_until([&list] { return list.gateway_.state_.directory_.servers_.empty(); }));
+    list.topic_.add("a", "{}");
+    CHECK(list.gateway_.run_until([&list] { return knows(list.gateway_, "a"); }));
+}
+
 // Guards against an answer from before the return that brings back the old list.
 TEST_CASE("a list that is of an earlier era of the log than the known one changes nothing")
 {
