Notice a return of the log from the answers to the VM's own announcement

Callers: none seen; found in a review of the change. The era that the store states in its answers to appends and to reads of the VMs' addresses was decoded and not used, so a return was noticed only when the followers read next.

Change: announce_vm() records the era of each answer, and repeats a call whose answer is of an earlier era.

known_era_test "a return of the log is noticed from the answer to an append" fails at 56 without it.

--- a/packages/gateway/src/process/announce.cpp
+++ b/packages/gateway/src/process/announce.cpp
@@ -11,14 +11,17 @@
 constexpr event_kind vms_read{4047, "vms_read"};
 
 constexpr milliseconds retry_interval{1000};
+/// The name of the topic in events.
+constexpr const char* topic = "vms";
 
 /// Repeats the append until the log acknowledges it. Repeats are harmless: they append the same value for the same key.
-task<> append_with_retries(record_log& log, std::string key, std::string value)
+task<> append_with_retries(gateway_state& state, record_log& log, std::string key, std::string value)
 {
     while (true)
     {
         const auto appended = co_await log.append_(key, value);
-        if (appended.acknowledged_)
+        const bool is_current = !appended.era_ || accept_era(state, appended.era_, topic);
+        if (appended.acknowledged_ && is_current)
         {
             co_return;
         }
@@ -26,12 +29,12 @@
     }
 }
 
-task<record_page> read_with_retries(record_log& log)
+task<record_page> read_with_retries(gateway_state& state, record_log& log)
 {
     while (true)
     {
         auto page = co_await log.read_newest_();
-        if (page.reached_)
+        if (accept_era_of(state, page, topic))
         {
             co_return page;
         }
@@ -48,7 +51,7 @@
     record_page page;
     if (!own.first_start_)
     {
-        auto first_read = co_await read_with_retries(log);
+        auto first_read = co_await read_with_retries(state, log);
         page = std::move(first_read);
     }
     const bool announced = std::ranges::any_of(page.records_, [&](const keyed_record& record) {
@@ -57,8 +60,8 @@
     if (!announced)
     {
         // Appends before reading, so that of two VMs that start at the same time at least one finds the other.
-        co_await append_with_retries(log, own.name_, address);
-        auto read_after = co_await read_with_retries(log);
+        co_await append_with_retries(state, log, own.name_, address);
+        auto read_after = co_await read_with_retries(state, log);
         page = std::move(read_after);
     }
     const auto now = std::chrono::steady_clock::now();
--- a/tests/gateway/known_era_test.cpp
+++ b/tests/gateway/known_era_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "cornelstall/gateway/process/announce.hpp"
 #include "gateway/gateway_fixture.hpp"
 
 using namespace cornelstall;
@@ -33,3 +34,25 @@
     CHECK(accept_era(state, log_era{5}, "t"));
     CHECK(state.era_.era_ == log_era{5});
 }
+
+// Guards against a return that goes unnoticed because a call other than those of the followers sees it first.
+TEST_CASE("a return of the log is noticed from the answer to an append")
+{
+    gateway_fixture gateway;
+    auto& state = gateway.state_;
+    REQUIRE(accept_era(state, log_era{4}, "t"));
+    record_log log;
+    log.read_newest_ = []() -> task<record_page> {
+        record_page page;
+        page.reached_ = true;
+        page.era_ = log_era{5};
+        co_return page;
+    };
+    log.append_ = [](std::string, std::string) -> task<append_result> {
+        co_return append_result{true, log_era{5}};
+    };
+    state.settings_.first_start_ = true;
+    spawn(state.executor_, "announce_vm", announce_vm(state, log));
+    REQUIRE(gateway.run_until([&state] { return state.era_.era_ == log_era{5}; }));
+    CHECK(state.era_.returned_);
+}
