--- a/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
+++ b/packages/decisions/include/cornelstall/decisions/connection/log_update.hpp
@@ -44,7 +44,7 @@
     std::optional<milliseconds> server_list_age_;  ///< time since its server list was last known to be up to date
     log_position changes_begin_;                   ///< first position covered by `changes_`
     log_position changes_end_;                     ///< one past the last position covered by `changes_`
-    std::vector<server_list_change> changes_;      ///< ordered by offset
+    std::vector<server_list_change> changes_;      ///< ordered by position
     std::optional<unread_span> unread_;            ///< within `changes_begin_` to `changes_end_`
     log_position server_list_end_;  ///< one past the last position known to the VM, from the log or from other VMs
     std::optional<reported_reads> reads_;
@@ -79,14 +79,14 @@
 /// positions is not known.
 void drop_positions(log_update& update);
 
-/// @brief Splits @a update into parts of at most @a max_changes changes with contiguous ranges. Only the last
-/// part has the age of the server list, because the others do not reach its end. The changes of unread positions stay
-/// in one part, because a VM must not apply some of them; when they are too many for that, the parts begin after them.
+/// @brief Splits @a update into parts of at most @a max_changes changes with contiguous ranges of positions. Only the
+/// last part has the age of the server list, because the others do not reach its end. The changes of unread positions
+/// stay in one part, because a VM must not apply some of them; when they are too many for that, the parts begin after
+/// them.
 [[nodiscard]] std::vector<log_update> split_log_update(const log_update& update, std::size_t max_changes);
 
 /// @brief Removes the changes before @a from and moves `changes_begin_` there, or to the end of the unread positions
-/// that
-/// @a from is within.
+/// that @a from is within.
 void drop_changes_before(log_update& update, log_position from);
 
 }  // namespace cornelstall
--- a/packages/gateway/src/process/server_list.cpp
+++ b/packages/gateway/src/process/server_list.cpp
@@ -327,8 +327,8 @@
                          [&listed](const server_id& id) { return !listed.contains(id); });
     // A server that registers again under this id has a record at `next` or later, so the removal must come before
     // that.
-    const bool is_empty = next.offset().get() == 0;
     const auto last_position = next.previous();
+    const bool is_empty = last_position == next;
     std::ranges::for_each(unlisted, [&](const server_id& id) {
         server_list_change change;
         change.server_.id_ = id;
--- a/tests/decisions/evacuation_property_test.cpp
+++ b/tests/decisions/evacuation_property_test.cpp
@@ -232,8 +232,7 @@
 
     void restart(model_vm& vm) const
     {
-        const auto before = vm;
-        vm = model_vm{};
+        const auto before = std::exchange(vm, model_vm{});
         vm.cut_from_log_ = before.cut_from_log_;
         vm.cut_from_vms_ = before.cut_from_vms_;
         vm.delayed_ = before.delayed_;
@@ -441,14 +440,12 @@
         {
             return;
         }
-        const auto first = log_end(since);
-        const auto last = log_end(now_);
+        const auto prefixes = std::views::iota(log_end(since), log_end(now_) + 1);
         for (std::size_t data_centre = 0; data_centre < data_centres.size(); ++data_centre)
         {
             const bool evacuated = is_evacuated(vm.known_, data_centres.at(data_centre));
-            const bool allowed = std::ranges::any_of(std::views::iota(first, last + 1), [&](std::size_t end) {
-                return evacuated_before(data_centre, end) == evacuated;
-            });
+            const bool allowed = std::ranges::any_of(
+                prefixes, [&](std::size_t end) { return evacuated_before(data_centre, end) == evacuated; });
             result_.late_ += allowed ? 0 : 1;
         }
     }
--- a/tests/platform/endless_store_answers_test.cpp
+++ b/tests/platform/endless_store_answers_test.cpp
@@ -22,6 +22,17 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// Reads the newest records of a topic of @a store into @a page.
+void begin_read(gateway_fixture& gateway, const fake_server& store, std::optional<record_page>& page)
+{
+    const auto log = platform::open_topic(gateway.state_.executor_, store.address(), "servers");
+    const auto read = [](record_log from, std::optional<record_page>& result) -> task<> {
+        auto received = co_await from.read_newest_();
+        result = std::move(received);
+    };
+    spawn(gateway.state_.executor_, "read", read(log, page));
+}
+
 }  // namespace
 
 TEST_CASE("a read of the newest records fails when the store's pages have no end")
@@ -35,13 +46,8 @@
     const auto store = gateway.add_server([served, value](const auto&) {
         return scripted_response{http_answer_text(newest_page((*served)++, value)), false};
     });
-    const auto log = platform::open_topic(gateway.state_.executor_, store->address(), "servers");
     std::optional<record_page> page;
-    const auto read = [](record_log from, std::optional<record_page>& result) -> task<> {
-        auto received = co_await from.read_newest_();
-        result = std::move(received);
-    };
-    spawn(gateway.state_.executor_, "read", read(log, page));
+    begin_read(gateway, *store, page);
     constexpr int max_pages = 500;
     (void)gateway.run_until([&] { return page.has_value() || *served > max_pages; });
     REQUIRE(page.has_value());
@@ -63,13 +69,8 @@
         }
         return scripted_response{http_answer_text(body), false};
     });
-    const auto log = platform::open_topic(gateway.state_.executor_, store->address(), "servers");
     std::optional<record_page> page;
-    const auto read = [](record_log from, std::optional<record_page>& result) -> task<> {
-        auto received = co_await from.read_newest_();
-        result = std::move(received);
-    };
-    spawn(gateway.state_.executor_, "read", read(log, page));
+    begin_read(gateway, *store, page);
     REQUIRE(gateway.run_until([&page] { return page.has_value(); }));
     CHECK(page->reached_);
     CHECK(page->records_.size() == 20);
@@ -87,13 +88,8 @@
                                                : R"({"end":9,"has_more":false,"items":[]})";
         return scripted_response{http_answer_text(body), false};
     });
-    const auto log = platform::open_topic(gateway.state_.executor_, store->address(), "servers");
     std::optional<record_page> page;
-    const auto read = [](record_log from, std::optional<record_page>& result) -> task<> {
-        auto received = co_await from.read_newest_();
-        result = std::move(received);
-    };
-    spawn(gateway.state_.executor_, "read", read(log, page));
+    begin_read(gateway, *store, page);
     REQUIRE(gateway.run_until([&page] { return page.has_value(); }));
     CHECK(page->reached_);
     CHECK(page->records_.size() == 1);
@@ -113,13 +109,8 @@
                                      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
                                  false};
     });
-    const auto log = platform::open_topic(gateway.state_.executor_, store->address(), "servers");
     std::optional<record_page> page;
-    const auto read = [](record_log from, std::optional<record_page>& result) -> task<> {
-        auto received = co_await from.read_newest_();
-        result = std::move(received);
-    };
-    spawn(gateway.state_.executor_, "read", read(log, page));
+    begin_read(gateway, *store, page);
     REQUIRE(gateway.run_until([&page] { return page.has_value(); }));
     CHECK(page->reached_ == !returns);
     CHECK(page->era_ == log_era{returns ? 4U : 3U});
